Keep less of a rate at idle hosts of the host role

Cause: a party without demand kept 6% of an equal share, and targets within 8% of the present ones were not changed although 2% of the rate stayed unassigned.

--- a/src/libraries/escrow/allocation_policy.h
+++ b/src/libraries/escrow/allocation_policy.h
@@ -21,15 +21,15 @@
     /// Burst that each party keeps if at most half of the budget is needed for it. With less than a whole unit a party
     /// could never serve a single request.
     units smallest_burst = one_unit;
-    double reserve = 0.06;    ///< Part of an equal share that a party without demand keeps for its first requests.
-    double hysteresis = 0.08; ///< Relative change below which a target stays as it is.
+    double reserve = 0.02;    ///< Part of an equal share that a party without demand keeps for its first requests.
+    double hysteresis = 0.05; ///< Relative change below which a target stays as it is.
     /// Smallest part of a budget that is not divided in advance but kept for holders whose requests wait. With this and
     /// `pool_burst` at zero everything is divided in advance.
     double pool_part = 0.5;
     /// Burst per party that is kept for waiting requests. Budgets smaller than that are not divided in advance at all:
     /// a host that gets a request every few seconds would hold tokens that others miss.
     units pool_burst = 16 * one_unit;
-    double idle_part = 0.02; ///< Part of the budget that may stay unassigned for the sake of hysteresis.
+    double idle_part = 0.005; ///< Part of the budget that may stay unassigned for the sake of hysteresis.
 };
 
 /// Divides a budget by weighted max-min fairness over demand.
