Report through one host per region in fleets of more than 24 hosts

Cause: each host sent its report to each other; at 85 hosts that was most of what the links between regions carried and half of the processor time. Now the reporter of a region, the first in everyone's ranking, adds the reports of its region up and sends a digest to the reporters of the other regions, which pass it on. Ages count from the host's own report, so a dead host is not heard for longer than one report period more. Other regions know a host's demand one report late; the lower of the last two reports keeps the shares from adding up to more than the limit.

--- a/src/libraries/gateway/fleet_exchange.cpp
+++ b/src/libraries/gateway/fleet_exchange.cpp
@@ -13,6 +13,17 @@
 constexpr char report_message = 'R';
 constexpr char snapshot_message = 'S';
 constexpr char token_message = 'T';
+constexpr char digest_message = 'D';    ///< From the reporter of another region.
+constexpr char forwarded_message = 'F'; ///< The same, passed on within the region.
+
+/// Objects that a digest may carry; the rest is learnt by the hosts themselves.
+constexpr std::size_t object_limit = 2000;
+
+std::shared_ptr<const std::string> make_message(char kind, std::string_view text) {
+    auto message = std::make_shared<std::string>(1, kind);
+    message->append(text);
+    return message;
+}
 
 } // namespace
 
@@ -33,69 +44,124 @@
         return m_make_snapshot ? m_make_snapshot() : std::string();
     if (message.front() == token_message)
         return m_grant_tokens ? write_pool_answer(m_grant_tokens(account_id(message.substr(1)))) : std::string();
-    if (message.front() != report_message)
-        return {};
-    auto report = read_fleet_report(message.substr(1));
-    if (!report)
+    if (message.front() == report_message)
+        take_report(message.substr(1));
+    if (message.front() == digest_message || message.front() == forwarded_message)
+        take_digest(message.substr(1), message.front() == forwarded_message);
+    return {};
+}
+
+void fleet_exchange::take_report(std::string_view text) {
+    auto report = read_fleet_report(text);
+    if (!report) {
         m_log.write(log_level::warn, "report_refused", field("cause", report.error().message));
-    else if (m_on_report)
+        return;
+    }
+    for (const known_object& known : report.value().new_objects) {
+        if (m_region_objects.size() < object_limit)
+            m_region_objects.push_back(known);
+    }
+    if (m_on_report)
         m_on_report(std::move(report).value());
-    return {};
 }
 
-void fleet_exchange::send_reports() {
+void fleet_exchange::take_digest(std::string_view text, bool is_forwarded) {
+    auto digest = read_region_digest(text);
+    if (!digest) {
+        m_log.write(log_level::warn, "digest_refused", field("cause", digest.error().message));
+        return;
+    }
+    if (!is_forwarded) {
+        const auto message = make_message(forwarded_message, text);
+        for (const entry_host& peer : m_membership.peers()) {
+            if (peer.region == m_membership.options().region)
+                send(peer, "digest of " + digest.value().region, message);
+        }
+    }
+    if (m_on_digest)
+        m_on_digest(std::move(digest).value());
+}
+
+void fleet_exchange::send_reports(time_point now) {
     if (m_bus == nullptr || !m_make_report)
         return;
-    const auto message = std::make_shared<const std::string>(report_message + write_fleet_report(m_make_report()));
+    const fleet_report report = m_make_report();
+    const auto message = make_message(report_message, write_fleet_report(report));
+    const bool is_relayed = m_membership.uses_reporters();
+    const region_id& region = m_membership.options().region;
     for (const entry_host& peer : m_membership.peers()) {
-        const auto endpoint = parse_endpoint(peer.peer_address);
-        if (!endpoint || !m_under_way.insert(peer.name).second)
-            continue;
-        m_runtime.spawn([this, message, name = peer.name, address = endpoint.value()] {
-            const auto reply = m_bus->request(address, *message, m_options.report_timeout);
-            m_under_way.erase(name);
-            if (reply) {
-                if (m_unreachable.erase(name) > 0)
-                    m_log.write(log_level::info, "peer_regained", field("peer", name));
-            } else if (m_unreachable.insert(name).second) {
-                m_log.write(log_level::warn, "peer_lost", field("peer", name), field("cause", reply.error().message));
-            }
-        });
+        if (!is_relayed || peer.region == region)
+            send(peer, "report", message);
+    }
+    std::vector<known_object> objects = std::exchange(m_region_objects, {});
+    if (!is_relayed || m_membership.reporter_of(region, {}, now) != m_membership.options().self)
+        return;
+    region_digest digest = m_membership.make_digest(report, now);
+    digest.new_objects = std::move(objects);
+    digest.new_objects.insert(digest.new_objects.end(), report.new_objects.begin(), report.new_objects.end());
+    send_digest(std::move(digest), now);
+}
+
+void fleet_exchange::send_digest(region_digest digest, time_point now) {
+    const auto message = make_message(digest_message, write_region_digest(digest));
+    for (const region_id& region : m_membership.other_regions()) {
+        const auto reporter = m_membership.reporter_of(region, m_unreachable, now);
+        const auto peer = reporter ? find_peer(*reporter) : std::nullopt;
+        if (peer)
+            send(*peer, "digest", message);
     }
 }
 
+void fleet_exchange::send(const entry_host& peer, const std::string& stream,
+                          std::shared_ptr<const std::string> message) {
+    const auto endpoint = parse_endpoint(peer.peer_address);
+    const std::string key = stream + " to " + peer.name;
+    if (!endpoint || !m_under_way.insert(key).second)
+        return;
+    m_runtime.spawn([this, message = std::move(message), key, name = peer.name, address = endpoint.value()] {
+        const auto reply = m_bus->request(address, *message, m_options.report_timeout);
+        m_under_way.erase(key);
+        if (reply) {
+            if (m_unreachable.erase(name) > 0)
+                m_log.write(log_level::info, "peer_regained", field("peer", name));
+        } else if (m_unreachable.insert(name).second) {
+            m_log.write(log_level::warn, "peer_lost", field("peer", name), field("cause", reply.error().message));
+        }
+    });
+}
+
 std::optional<std::string> fleet_exchange::ask_for_snapshot(std::int64_t known_revision, time_point now) {
     if (m_bus == nullptr)
         return std::nullopt;
-    const fleet_report* best = nullptr;
-    for (const fleet_report* report : m_membership.current_reports(now)) {
-        if (report->store_revision > known_revision &&
-            (best == nullptr || report->store_revision > best->store_revision))
-            best = report;
-    }
-    if (best == nullptr)
+    const auto name = m_membership.best_informed_peer(known_revision, now);
+    if (!name)
         return std::nullopt;
-    const host_id name = best->host;
-    const auto endpoint = endpoint_of(name);
+    const auto endpoint = endpoint_of(*name);
     if (!endpoint)
         return std::nullopt;
     auto reply = m_bus->request(*endpoint, std::string(1, snapshot_message), m_options.snapshot_timeout);
     if (reply)
         return std::move(reply).value();
-    m_log.write(log_level::info, "peer_snapshot_failed", field("peer", name), field("cause", reply.error().message));
+    m_log.write(log_level::info, "peer_snapshot_failed", field("peer", *name), field("cause", reply.error().message));
     return std::nullopt;
 }
 
-std::optional<network_endpoint> fleet_exchange::endpoint_of(const host_id& name) const {
-    for (const entry_host& peer : m_membership.peers()) {
-        if (peer.name != name)
-            continue;
-        if (auto endpoint = parse_endpoint(peer.peer_address))
-            return std::move(endpoint).value();
+std::optional<entry_host> fleet_exchange::find_peer(const host_id& name) const {
+    for (entry_host& peer : m_membership.peers()) {
+        if (peer.name == name)
+            return std::move(peer);
     }
     return std::nullopt;
 }
 
+std::optional<network_endpoint> fleet_exchange::endpoint_of(const host_id& name) const {
+    const auto peer = find_peer(name);
+    if (!peer)
+        return std::nullopt;
+    auto endpoint = parse_endpoint(peer->peer_address);
+    return endpoint ? std::optional<network_endpoint>(std::move(endpoint).value()) : std::nullopt;
+}
+
 std::optional<pool_answer> fleet_exchange::ask_for_tokens(const host_id& keeper, const account_id& account) {
     const auto endpoint = endpoint_of(keeper);
     if (m_bus == nullptr || !endpoint)
--- a/src/libraries/gateway/fleet_exchange.h
+++ b/src/libraries/gateway/fleet_exchange.h
@@ -24,13 +24,15 @@
     duration token_timeout = std::chrono::milliseconds(200);
 };
 
-/// Sends this host's reports to all others and takes theirs.
-/// FIXME: A full mesh costs each host one message per peer and period; above some 30 hosts reports must go through one
-///        host per region.
+/// Sends this host's reports and takes those of others. In a small fleet they go to all others. In a larger one they go
+/// to the hosts of the own region; its reporter adds them up for the reporters of the other regions, and those pass the
+/// digest on to their hosts.
+/// FIXME: Within a region the mesh is still full: 122 hosts of a region send each other 153 messages a second and host.
 class fleet_exchange {
 public:
     using report_source = std::function<fleet_report()>;
     using report_handler = std::function<void(fleet_report)>;
+    using digest_handler = std::function<void(region_digest)>;
     using snapshot_source = std::function<std::string()>;
     using pool_source = std::function<pool_answer(const account_id&)>;
 
@@ -39,6 +41,7 @@
 
     void on_report_wanted(report_source source) { m_make_report = std::move(source); }
     void on_report(report_handler handler) { m_on_report = std::move(handler); }
+    void on_digest(digest_handler handler) { m_on_digest = std::move(handler); }
     void on_snapshot_wanted(snapshot_source source) { m_make_snapshot = std::move(source); }
     void on_tokens_wanted(pool_source source) { m_grant_tokens = std::move(source); }
 
@@ -46,8 +49,8 @@
     result<void> open(const network_endpoint& listen, const std::string& fleet_secret);
     bool is_open() const noexcept { return m_bus != nullptr; }
 
-    /// Sends a report to each peer without waiting for the acknowledgements.
-    void send_reports();
+    /// Sends a report, and a digest if this host is its region's reporter, without waiting for acknowledgements.
+    void send_reports(time_point now);
 
     /// A snapshot of the peer whose reports name the highest store revision above the given one.
     std::optional<std::string> ask_for_snapshot(std::int64_t known_revision, time_point now);
@@ -59,6 +62,13 @@
 
 private:
     std::string answer(std::string_view message);
+    void take_report(std::string_view text);
+    void take_digest(std::string_view text, bool is_forwarded);
+    void send_digest(region_digest digest, time_point now);
+
+    /// Sends to a peer, unless an earlier message of the same stream waits for its acknowledgement.
+    void send(const entry_host& peer, const std::string& stream, std::shared_ptr<const std::string> message);
+    std::optional<entry_host> find_peer(const host_id& name) const;
     std::optional<network_endpoint> endpoint_of(const host_id& name) const;
 
     fiber_runtime& m_runtime;
@@ -67,11 +77,14 @@
     fleet_exchange_options m_options;
     report_source m_make_report;
     report_handler m_on_report;
+    digest_handler m_on_digest;
     snapshot_source m_make_snapshot;
     pool_source m_grant_tokens;
     std::unique_ptr<peer_bus> m_bus;
-    std::set<host_id> m_unreachable; ///< Peers whose last report was not acknowledged.
-    std::set<host_id> m_under_way;   ///< Peers that have not acknowledged the last report yet.
+    std::set<host_id> m_unreachable;   ///< Peers whose last report was not acknowledged.
+    std::set<std::string> m_under_way; ///< Streams to peers with a message that is not acknowledged yet.
+    /// What hosts of this region taught upstreams since the last digest.
+    std::vector<known_object> m_region_objects;
 };
 
 } // namespace ragworthinge
--- a/src/libraries/gateway/fleet_report_codec.h
+++ b/src/libraries/gateway/fleet_report_codec.h
@@ -14,6 +14,12 @@
 /// Error: protocol_violation.
 result<fleet_report> read_fleet_report(std::string_view text);
 
+/// Text form of a region's digest, for messages between reporters and from them to their hosts.
+std::string write_region_digest(const region_digest& digest);
+
+/// Errors: protocol_violation.
+result<region_digest> read_region_digest(std::string_view text);
+
 std::string write_pool_answer(const pool_answer& answer);
 
 /// Error: protocol_violation.
--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -95,6 +95,7 @@
         return account == nullptr ? pool_answer() : m_limiter.grant(*account, boot_time_now());
     });
     m_exchange.on_report([this](fleet_report report) { take_report(std::move(report)); });
+    m_exchange.on_digest([this](region_digest digest) { take_digest(std::move(digest)); });
 }
 
 result<std::unique_ptr<http_server>> gateway_process::listen(const ip_endpoint& address, http_server::handler handler) {
@@ -142,7 +143,7 @@
         serve_line(now);
     }));
     m_subscriptions.push_back(m_timers.subscribe(m_options.report_period, [this](time_point) {
-        m_exchange.send_reports();
+        m_exchange.send_reports(boot_time_now());
         update_shares(boot_time_now());
     }));
     m_last_upkeep = boot_time_now();
@@ -205,7 +206,7 @@
         if (!secret) {
             m_log.write(log_level::debug, "peer_secret_unknown", field("cause", secret.error().message));
         } else if (const auto opened = m_exchange.open(to_network(m_settings.listen.peers), secret.value()); opened) {
-            m_exchange.send_reports();
+            m_exchange.send_reports(boot_time_now());
             return;
         } else {
             m_log.write(log_level::error, "peer_listener_failed", field("cause", opened.error().message));
@@ -244,17 +245,29 @@
     return report;
 }
 
-void gateway_process::take_report(fleet_report report) {
-    const time_point now = boot_time_now();
-    m_crashes.merge(report.host, report.crashes, now);
-    for (const known_object& known : report.new_objects) {
+void gateway_process::learn_objects(const std::vector<known_object>& objects, time_point now) {
+    for (const known_object& known : objects) {
         if (const auto upstream = m_fleet.find_upstream(known.upstream))
             upstream->learn_object(known.object, now);
     }
+}
+
+void gateway_process::take_report(fleet_report report) {
+    const time_point now = boot_time_now();
+    m_crashes.merge(report.host, report.crashes, now);
+    learn_objects(report.new_objects, now);
     if (m_membership.record_report(std::move(report), now))
         m_has_new_reports = true;
 }
 
+void gateway_process::take_digest(region_digest digest) {
+    const time_point now = boot_time_now();
+    m_crashes.merge("region " + digest.region, digest.crashes, now);
+    learn_objects(digest.new_objects, now);
+    m_membership.record_digest(std::move(digest), now);
+    m_has_new_reports = true;
+}
+
 void gateway_process::serve_line(time_point now) {
     if (m_dispatcher.waiting() > 0)
         m_dispatcher.serve_waiting(now);
@@ -267,11 +280,7 @@
 }
 
 void gateway_process::update_others_in_flight(time_point now) {
-    std::map<upstream_id, double> totals;
-    for (const fleet_report* report : m_membership.current_reports(now)) {
-        for (const upstream_load& load : report->loads)
-            totals[load.upstream] += load.in_flight;
-    }
+    const std::map<upstream_id, double> totals = m_membership.reported_loads(now);
     for (const auto& [id, upstream] : m_fleet.upstreams()) {
         const auto found = totals.find(id);
         upstream->set_others_in_flight(found == totals.end() ? 0 : found->second);
@@ -341,7 +350,7 @@
     m_is_stopping = true;
     m_membership.set_leaving();
     m_callers->start_draining();
-    m_exchange.send_reports();
+    m_exchange.send_reports(boot_time_now());
     m_log.write(log_level::info, "stop", field("under_way", m_gateway.under_way()),
                 field("connections", m_callers->connection_count()));
     m_runtime.spawn([this] { m_registration->withdraw(); });
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -61,6 +61,8 @@
     result<std::string> fetch_fleet_secret();
     fleet_report make_report();
     void take_report(fleet_report report);
+    void take_digest(region_digest digest);
+    void learn_objects(const std::vector<known_object>& objects, time_point now);
     void update_shares(time_point now);
     void serve_line(time_point now);
     void update_others_in_flight(time_point now);
--- a/src/libraries/steering/account_limiter.cpp
+++ b/src/libraries/steering/account_limiter.cpp
@@ -126,9 +126,10 @@
 }
 
 void account_limiter::update_shares(const steering_table& table, const fleet_membership& fleet, time_point now) {
-    const auto reports = fleet.current_reports(now);
+    const std::map<account_id, double> demands = fleet.reported_demands(now);
+    m_is_relayed = fleet.uses_reporters();
     const auto hosts = static_cast<double>(fleet.size());
-    const double heard = static_cast<double>(reports.size()) + 1;
+    const double heard = static_cast<double>(fleet.heard_peers(now)) + 1;
     const double available = heard / hosts; // each host that is not heard may spend its equal part
     m_default_share = 1 / hosts;
 
@@ -136,14 +137,12 @@
         account_state& state = state_of(account, now);
         state.own.refill(account, now);
         state.pool.refill(account, now);
-        const double own = state.reported_demand;
-        double total = own;
-        for (const fleet_report* report : reports) {
-            for (const account_demand& other : report->demands) {
-                if (other.account == account.name)
-                    total += other.requests_per_second;
-            }
-        }
+        const auto others = demands.find(account.name);
+        // Through reporters other hosts know either this or the previous report. With the lower of both everywhere, no
+        // host counts less for another than that one counts for itself, so the shares add up to no more than one.
+        const double own =
+            m_is_relayed ? std::min(state.reported_demand, state.previous_demand) : state.reported_demand;
+        const double total = own + (others == demands.end() ? 0 : others->second);
         const double equal = m_options.equal_part / heard;
         const double by_demand = total > 0 ? own / total : 1 / heard;
         // A host's part of the burst below one token could not send anything, so such an account is pooled whole.
@@ -171,8 +170,11 @@
     constexpr double smallest_reported = 0.05;
     std::vector<account_demand> all;
     for (auto& [account, state] : m_accounts) {
-        const double demand = faded_demand(state, now);
-        state.reported_demand = demand >= smallest_reported ? demand : 0;
+        double demand = faded_demand(state, now);
+        // A host of a large fleet gets few requests of an account, and the lower of two reports must not be noise.
+        if (m_is_relayed)
+            demand = (demand + state.reported_demand) / 2;
+        state.previous_demand = std::exchange(state.reported_demand, demand >= smallest_reported ? demand : 0);
         if (demand >= smallest_reported)
             all.push_back({account, demand});
     }
--- a/src/libraries/steering/account_limiter.h
+++ b/src/libraries/steering/account_limiter.h
@@ -91,6 +91,7 @@
     struct account_state {
         double demand = 0;          ///< Requests per second, averaged.
         double reported_demand = 0; ///< The same in the last report.
+        double previous_demand = 0; ///< The same in the report before that.
         time_point demand_at;
         bucket own;
         bucket pool; ///< Share zero while another host keeps it.
@@ -102,6 +103,7 @@
     account_state& state_of(const steering_account& account, time_point now);
 
     account_limiter_options m_options;
+    bool m_is_relayed = false;  ///< Reports reach other regions through reporters.
     double m_default_share = 0; ///< Of an account that appears; zero until the number of hosts is known.
     std::map<account_id, account_state> m_accounts;
 };
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -1,5 +1,8 @@
 #include "steering/fleet_membership.h"
 
+#include "membership/rendezvous_hash.h"
+
+#include <algorithm>
 #include <utility>
 
 namespace ragworthinge {
@@ -14,6 +17,7 @@
         return;
     known.announced_at = now;
     known.reported_at.reset();
+    known.relayed_at.reset();
     known.report = {};
 }
 
@@ -26,7 +30,7 @@
     std::erase_if(m_members, [&](const auto& entry) {
         const member& known = entry.second;
         const duration kept = known.report.is_leaving ? m_options.leaving_reservation : m_options.reservation;
-        return known.withdrawn_at && now - *known.withdrawn_at > kept && !is_heard(entry.first, now);
+        return known.withdrawn_at && now - *known.withdrawn_at > kept && !is_heard(known, now);
     });
 }
 
@@ -39,6 +43,74 @@
     return true;
 }
 
+void fleet_membership::record_digest(region_digest digest, time_point now) {
+    if (digest.region == m_options.region)
+        return;
+    for (const relayed_host& relayed : digest.hosts) {
+        const auto found = m_members.find(relayed.name);
+        if (found == m_members.end() || found->second.host.incarnation != relayed.incarnation)
+            continue;
+        member& known = found->second;
+        const time_point relayed_at = now - relayed.age;
+        if (known.relayed_at && *known.relayed_at > relayed_at)
+            continue;
+        known.relayed_at = relayed_at;
+        known.report.is_leaving = relayed.is_leaving;
+        known.report.store_revision = std::max(known.report.store_revision, relayed.store_revision);
+    }
+    const region_id region = digest.region;
+    m_digests[region] = {std::move(digest), now};
+}
+
+std::optional<host_id> fleet_membership::reporter_of(const region_id& region, const std::set<host_id>& excluded,
+                                                     time_point now) const {
+    std::vector<host_id> heard;
+    std::vector<host_id> registered;
+    for (const auto& [name, known] : m_members) {
+        const bool is_self = name == m_options.self;
+        const bool leaves = is_self ? m_leaving : known.report.is_leaving;
+        if (known.host.region != region || excluded.contains(name) || leaves)
+            continue;
+        if (is_self || is_heard(known, now))
+            heard.push_back(name);
+        else if (!known.withdrawn_at)
+            registered.push_back(name);
+    }
+    if (region == m_options.region && !m_members.contains(m_options.self) && !m_leaving)
+        heard.push_back(m_options.self);
+    return highest_ranked_host("reporter/" + region, heard.empty() ? registered : heard);
+}
+
+region_digest fleet_membership::make_digest(const fleet_report& own, time_point now) const {
+    region_digest digest;
+    digest.region = m_options.region;
+    std::map<account_id, double> demands;
+    std::map<upstream_id, std::uint32_t> loads;
+    std::map<std::uint64_t, std::uint32_t> deaths;
+    const auto add = [&](const fleet_report& report, duration age) {
+        digest.hosts.push_back({report.host, report.incarnation, report.is_leaving, report.store_revision,
+                                std::chrono::duration_cast<std::chrono::milliseconds>(age)});
+        for (const account_demand& demand : report.demands)
+            demands[demand.account] += demand.requests_per_second;
+        for (const upstream_load& load : report.loads)
+            loads[load.upstream] += load.in_flight;
+        for (const crash_notice& notice : report.crashes)
+            deaths[notice.fingerprint] += notice.deaths;
+    };
+    add(own, duration::zero());
+    for (const auto& [name, known] : m_members) {
+        if (name != m_options.self && known.host.region == m_options.region && is_reporting(known, now))
+            add(known.report, now - *known.reported_at);
+    }
+    for (auto& [account, demand] : demands)
+        digest.demands.push_back({account, demand});
+    for (auto& [upstream, in_flight] : loads)
+        digest.loads.push_back({upstream, in_flight});
+    for (auto& [fingerprint, count] : deaths)
+        digest.crashes.push_back({fingerprint, count});
+    return digest;
+}
+
 std::size_t fleet_membership::size() const {
     return m_members.size() + (m_members.contains(m_options.self) ? 0 : 1);
 }
@@ -71,17 +143,70 @@
     if (name == m_options.self)
         return true;
     const auto found = m_members.find(name);
-    return found != m_members.end() && found->second.reported_at &&
-           now - *found->second.reported_at < m_options.silence_limit;
+    return found != m_members.end() && is_heard(found->second, now);
+}
+
+bool fleet_membership::is_heard(const member& known, time_point now) const {
+    return is_reporting(known, now) || is_relayed(known, now);
+}
+
+bool fleet_membership::is_reporting(const member& known, time_point now) const {
+    return known.reported_at && now - *known.reported_at < m_options.silence_limit;
 }
 
-std::vector<const fleet_report*> fleet_membership::current_reports(time_point now) const {
-    std::vector<const fleet_report*> reports;
+bool fleet_membership::is_relayed(const member& known, time_point now) const {
+    return known.relayed_at && now - *known.relayed_at < m_options.silence_limit + m_options.relay_allowance;
+}
+
+template <typename Function>
+void fleet_membership::for_each_part(time_point now, Function&& function) const {
+    std::set<host_id> relayed;
+    for (const auto& [region, known] : m_digests) {
+        if (now - known.received_at >= m_options.silence_limit)
+            continue;
+        function(known.digest);
+        for (const relayed_host& host : known.digest.hosts)
+            relayed.insert(host.name);
+    }
     for (const auto& [name, known] : m_members) {
-        if (name != m_options.self && is_heard(name, now))
-            reports.push_back(&known.report);
+        if (name != m_options.self && is_reporting(known, now) && !relayed.contains(name))
+            function(known.report);
     }
-    return reports;
+}
+
+std::size_t fleet_membership::heard_peers(time_point now) const {
+    return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const auto& entry) {
+        return entry.first != m_options.self && is_heard(entry.second, now);
+    }));
+}
+
+std::map<account_id, double> fleet_membership::reported_demands(time_point now) const {
+    std::map<account_id, double> sums;
+    for_each_part(now, [&](const auto& part) {
+        for (const account_demand& demand : part.demands)
+            sums[demand.account] += demand.requests_per_second;
+    });
+    return sums;
+}
+
+std::map<upstream_id, double> fleet_membership::reported_loads(time_point now) const {
+    std::map<upstream_id, double> sums;
+    for_each_part(now, [&](const auto& part) {
+        for (const upstream_load& load : part.loads)
+            sums[load.upstream] += load.in_flight;
+    });
+    return sums;
+}
+
+std::optional<host_id> fleet_membership::best_informed_peer(std::int64_t known_revision, time_point now) const {
+    std::optional<host_id> best;
+    for (const auto& [name, known] : m_members) {
+        if (name == m_options.self || known.report.store_revision <= known_revision || !is_heard(known, now))
+            continue;
+        known_revision = known.report.store_revision;
+        best = name;
+    }
+    return best;
 }
 
 std::vector<entry_host> fleet_membership::peers() const {
@@ -93,12 +218,21 @@
     return others;
 }
 
+std::set<region_id> fleet_membership::other_regions() const {
+    std::set<region_id> regions;
+    for (const auto& [name, known] : m_members) {
+        if (known.host.region != m_options.region)
+            regions.insert(known.host.region);
+    }
+    return regions;
+}
+
 bool fleet_membership::takes_callers(const member& candidate, time_point now) const {
     if (candidate.host.name == m_options.self)
         return !m_leaving;
-    if (!candidate.reported_at)
+    if (!candidate.reported_at && !candidate.relayed_at)
         return !candidate.withdrawn_at && now - candidate.announced_at < m_options.first_report_limit;
-    return is_heard(candidate.host.name, now) && !candidate.report.is_leaving;
+    return is_heard(candidate, now) && !candidate.report.is_leaving;
 }
 
 std::vector<entry_host> fleet_membership::entry_hosts_for(const region_id& region, time_point now) const {
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -6,6 +6,7 @@
 
 #include <map>
 #include <optional>
+#include <set>
 #include <string_view>
 #include <vector>
 
@@ -25,6 +26,12 @@
     duration reservation = std::chrono::seconds(40);
     /// The same for a host that said that it leaves. It serves on until it stops; source: a grace period of 6 s.
     duration leaving_reservation = std::chrono::seconds(7);
+    /// A host of another region that is known through a reporter is heard for this much longer: its report waits up to
+    /// one report period for the next digest. Source: the report period of 0.8 s.
+    duration relay_allowance = std::chrono::milliseconds(800);
+    /// Up to this many hosts each reports to all others; larger fleets report through one host per region.
+    /// Source: with 24 hosts a report of 0.4 kB per peer and period makes 12 kB/s each way (docs/CAPACITY.md).
+    std::size_t direct_fleet_size = 24;
 };
 
 /// Which entry hosts exist, by the store, and which of them are heard, by their reports.
@@ -49,6 +56,20 @@
     void set_leaving() noexcept { m_leaving = true; }
     bool is_leaving() const noexcept { return m_leaving; }
 
+    /// Takes what the reporter of another region added up. Hosts that are not registered are left out.
+    void record_digest(region_digest digest, time_point now);
+
+    /// Whether the fleet is too large for reports from each host to each other.
+    bool uses_reporters() const { return size() > m_options.direct_fleet_size; }
+
+    /// The host that adds up the reports of its region: the first in everyone's ranking of those that are heard and
+    /// stay. While none of a region is heard, the first that is registered and not excluded.
+    std::optional<host_id> reporter_of(const region_id& region, const std::set<host_id>& excluded,
+                                       time_point now) const;
+
+    /// Adds up the direct reports of this host's region for other regions; `own` is this host's report.
+    region_digest make_digest(const fleet_report& own, time_point now) const;
+
     /// Hosts that may spend a part of the fleet's budgets, this one included even if the store does not list it.
     std::size_t size() const;
 
@@ -61,12 +82,24 @@
     /// Whether the host's reports arrive, or it is this one.
     bool is_heard(const host_id& name, time_point now) const;
 
-    /// Latest reports of the other hosts that are heard.
-    std::vector<const fleet_report*> current_reports(time_point now) const;
+    /// Other hosts that are heard.
+    std::size_t heard_peers(time_point now) const;
+
+    /// Demand of the other hosts that are heard, added up per account.
+    std::map<account_id, double> reported_demands(time_point now) const;
+
+    /// Requests of the other hosts that are heard, added up per upstream.
+    std::map<upstream_id, double> reported_loads(time_point now) const;
 
-    /// Other hosts to exchange reports with.
+    /// The heard host that knows the highest store revision, if that is above the given one.
+    std::optional<host_id> best_informed_peer(std::int64_t known_revision, time_point now) const;
+
+    /// All other hosts that are registered or were heard lately.
     std::vector<entry_host> peers() const;
 
+    /// Regions with other hosts, except this host's own.
+    std::set<region_id> other_regions() const;
+
     /// Hosts that callers of a region should connect to: the live ones there, or all live ones if it has none.
     std::vector<entry_host> entry_hosts_for(const region_id& region, time_point now) const;
 
@@ -74,15 +107,30 @@
     struct member {
         entry_host host;
         time_point announced_at;
-        std::optional<time_point> reported_at;
+        std::optional<time_point> reported_at; ///< By the host itself.
+        std::optional<time_point> relayed_at;  ///< The same as the reporter of its region had it.
         std::optional<time_point> withdrawn_at;
-        fleet_report report;
+        fleet_report report; ///< Empty lists if it is only known through a reporter.
+    };
+
+    struct relayed_region {
+        region_digest digest;
+        time_point received_at;
     };
 
     bool takes_callers(const member& candidate, time_point now) const;
+    bool is_heard(const member& known, time_point now) const;
+    bool is_reporting(const member& known, time_point now) const;
+    bool is_relayed(const member& known, time_point now) const;
+
+    /// Calls the function with the demands and loads that add up to those of all other hosts that are heard: digests,
+    /// and the reports of hosts that none of them contains.
+    template <typename Function>
+    void for_each_part(time_point now, Function&& function) const;
 
     fleet_membership_options m_options;
     std::map<host_id, member> m_members;
+    std::map<region_id, relayed_region> m_digests; ///< Latest one of each other region.
     bool m_leaving = false;
 };
 
--- a/src/libraries/steering/fleet_report.h
+++ b/src/libraries/steering/fleet_report.h
@@ -2,6 +2,7 @@
 
 #include "base/identifiers.h"
 
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -32,7 +33,8 @@
     std::uint32_t deaths = 0; ///< Counted by the sender.
 };
 
-/// What a host tells the others periodically, since the store does not know it.
+/// What a host tells the others of its region periodically, and in a small fleet all others, since the store does not
+/// know it.
 struct fleet_report {
     host_id host;
     ragworthinge::incarnation incarnation = 0;
@@ -44,4 +46,23 @@
     std::vector<crash_notice> crashes;
 };
 
+/// A host of another region that is known through that region's reporter.
+struct relayed_host {
+    host_id name;
+    ragworthinge::incarnation incarnation = 0;
+    bool is_leaving = false;
+    std::int64_t store_revision = 0;
+    std::chrono::milliseconds age{0}; ///< Time since the reporter had the host's report.
+};
+
+/// The reports of a region's hosts added up by one of them, its reporter.
+struct region_digest {
+    region_id region;
+    std::vector<relayed_host> hosts; ///< Those that the reporter hears, itself included.
+    std::vector<account_demand> demands;
+    std::vector<upstream_load> loads;
+    std::vector<known_object> new_objects; ///< Since the reporter's previous digest.
+    std::vector<crash_notice> crashes;
+};
+
 } // namespace ragworthinge
--- a/tests/gateway/codecs_test.cpp
+++ b/tests/gateway/codecs_test.cpp
@@ -48,6 +48,37 @@
     CHECK_FALSE(read_fleet_report(text + "x"));
 }
 
+TEST_CASE("a region's digest survives its text form") {
+    region_digest digest;
+    digest.region = "gulf";
+    digest.hosts = {{"front-1", 77, true, 412, std::chrono::milliseconds(350)}};
+    digest.demands = {{"florist", 12.34}};
+    digest.loads = {{"i-1", 3}};
+    digest.new_objects = {{"i-1", 0xfedcba9876543210ULL}};
+    digest.crashes = {{0xffffffffffffffffULL, 2}};
+    const std::string text = write_region_digest(digest);
+    const auto read = read_region_digest(text);
+    REQUIRE(read);
+    CHECK(read.value().region == "gulf");
+    REQUIRE(read.value().hosts.size() == 1);
+    CHECK(read.value().hosts[0].name == "front-1");
+    CHECK(read.value().hosts[0].incarnation == 77);
+    CHECK(read.value().hosts[0].is_leaving);
+    CHECK(read.value().hosts[0].store_revision == 412);
+    CHECK(read.value().hosts[0].age == std::chrono::milliseconds(350));
+    CHECK(read.value().demands.at(0).requests_per_second == Approx(12.34));
+    CHECK(read.value().loads.at(0).in_flight == 3);
+    CHECK(read.value().new_objects.at(0).object == 0xfedcba9876543210ULL);
+    CHECK(read.value().crashes.at(0).deaths == 2);
+
+    SECTION("and is refused when it is damaged") {
+        for (std::size_t length = 0; length < text.size(); ++length)
+            CHECK_FALSE(read_region_digest(text.substr(0, length)));
+        digest.hosts[0].age = std::chrono::milliseconds(-1);
+        CHECK_FALSE(read_region_digest(write_region_digest(digest)));
+    }
+}
+
 TEST_CASE("a host's record survives its text form") {
     const entry_host host = make_host("front-1", 77, "delta");
     const auto read = read_host_record(write_host_record(host));
--- a/tests/steering/account_limiter_test.cpp
+++ b/tests/steering/account_limiter_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
 #include <map>
@@ -28,15 +29,16 @@
     return configuration;
 }
 
-/// Hosts with one account, their reports, and the pool's questions; no delays but the report period.
+/// Hosts of three regions with one account, their reports, and the pool's questions; no delays but the report period.
 class limiter_fleet {
 public:
     limiter_fleet(std::size_t hosts, double rate, double burst) : m_table(one_account(rate, burst)), m_random(7) {
+        constexpr std::array<const char*, 3> regions{"gulf", "delta", "piedmont"};
         for (std::size_t index = 0; index < hosts; ++index)
-            m_hosts.push_back(std::make_unique<host>("host-" + std::to_string(index)));
+            m_hosts.push_back(std::make_unique<host>("host-" + std::to_string(index), regions[index % regions.size()]));
         for (auto& each : m_hosts) {
             for (auto& other : m_hosts)
-                each->membership.announce(make_host(other->name), m_now);
+                each->membership.announce(make_host(other->name, other->run, other->region), m_now);
         }
     }
 
@@ -76,12 +78,13 @@
 
     /// The host's process starts again.
     void restart(std::size_t index, incarnation run) {
-        auto fresh = std::make_unique<host>(m_hosts[index]->name);
+        const std::string region = m_hosts[index]->region;
+        auto fresh = std::make_unique<host>(m_hosts[index]->name, region);
         fresh->run = run;
         m_hosts[index] = std::move(fresh);
         for (auto& other : m_hosts) {
-            m_hosts[index]->membership.announce(make_host(other->name, other->run), m_now);
-            other->membership.announce(make_host(m_hosts[index]->name, run), m_now);
+            m_hosts[index]->membership.announce(make_host(other->name, other->run, other->region), m_now);
+            other->membership.announce(make_host(m_hosts[index]->name, run, region), m_now);
         }
     }
 
@@ -127,9 +130,11 @@
 
 private:
     struct host {
-        explicit host(const std::string& host_name) : name(host_name), membership(make_membership(host_name)) {}
+        host(const std::string& host_name, const std::string& host_region)
+            : name(host_name), region(host_region), membership(make_membership(host_name, host_region)) {}
 
         std::string name;
+        std::string region;
         incarnation run = 1;
         fleet_membership membership;
         account_limiter limiter;
@@ -151,10 +156,13 @@
             report.incarnation = sender.run;
             report.is_leaving = sender.is_leaving;
             report.demands = sender.limiter.report_demands(m_now);
+            const bool is_relayed = sender.membership.uses_reporters();
             for (auto& receiver : m_hosts) {
-                if (receiver.get() != &sender && !sender.is_cut && !receiver->is_cut && !receiver->is_frozen)
+                if (can_hear(sender, *receiver) && (!is_relayed || receiver->region == sender.region))
                     receiver->membership.record_report(report, m_now);
             }
+            if (is_relayed && sender.membership.reporter_of(sender.region, {}, m_now) == sender.name)
+                send_digest(sender, report);
             for (auto& each : m_hosts) {
                 if (!each->is_frozen)
                     each->limiter.update_shares(m_table, each->membership, m_now);
@@ -162,6 +170,27 @@
         }
     }
 
+    static bool can_hear(const host& sender, const host& receiver) {
+        return &receiver != &sender && !sender.is_cut && !receiver.is_cut && !receiver.is_frozen;
+    }
+
+    /// To the other regions' reporters, which pass it on.
+    void send_digest(const host& sender, const fleet_report& report) {
+        const region_digest digest = sender.membership.make_digest(report, m_now);
+        for (const region_id& region : sender.membership.other_regions()) {
+            const auto reporter = sender.membership.reporter_of(region, {}, m_now);
+            for (auto& relay : m_hosts) {
+                if (relay->name != reporter || !can_hear(sender, *relay))
+                    continue;
+                relay->membership.record_digest(digest, m_now);
+                for (auto& receiver : m_hosts) {
+                    if (receiver->region == region && can_hear(*relay, *receiver))
+                        receiver->membership.record_digest(digest, m_now);
+                }
+            }
+        }
+    }
+
     void arrive(std::size_t index) {
         host& entry = *m_hosts[index];
         ++asked;
@@ -254,6 +283,49 @@
     CHECK(static_cast<double>(fleet.most_in_window()) <= limit_of_window(fleet.account()));
 }
 
+// Guards against shares that add up to more than the limit while a rise of the demand is on its way through reporters.
+TEST_CASE("a fleet that reports through reporters stays within the limit") {
+    constexpr std::size_t hosts = 85;
+    limiter_fleet fleet(hosts, 300, 300);
+    fleet.run(5s, std::vector<double>(hosts, 1));
+    std::vector<double> rates(hosts, 2);
+    for (std::size_t host = 0; host < hosts; host += 3)
+        rates[host] = 20;
+    fleet.run(15s, rates);
+    CHECK(static_cast<double>(fleet.most_in_window()) <= limit_of_window(fleet.account()) * 1.02);
+    const std::size_t admitted = fleet.asked - fleet.refused;
+    CHECK(static_cast<double>(admitted) >= 0.9 * 300 * 15);
+
+    SECTION("also when a reporter and other hosts are cut off") {
+        for (std::size_t host = 0; host < 30; ++host)
+            fleet.cut(host, true);
+        fleet.run(12s, rates);
+        for (std::size_t host = 0; host < 30; ++host)
+            fleet.cut(host, false);
+        fleet.run(8s, rates);
+        CHECK(static_cast<double>(fleet.most_in_window()) <= limit_of_window(fleet.account()) * 1.1 + 20);
+    }
+    SECTION("also when callers move between regions") {
+        for (std::size_t round = 0; round < 6; ++round) {
+            std::vector<double> moved(hosts, 1);
+            for (std::size_t host = round % 3; host < hosts; host += 3)
+                moved[host] = 20;
+            fleet.run(4s, moved);
+        }
+        CHECK(static_cast<double>(fleet.most_in_window()) <= limit_of_window(fleet.account()) * 1.1 + 20);
+    }
+}
+
+// Guards against refusals within the rate because shares follow demand too slowly through reporters.
+TEST_CASE("an account within its rate is hardly ever refused in a fleet with reporters") {
+    constexpr std::size_t hosts = 85;
+    limiter_fleet fleet(hosts, 300, 300);
+    fleet.run(5s, std::vector<double>(hosts, 2));
+    fleet.asked = fleet.refused = 0;
+    fleet.run(30s, std::vector<double>(hosts, 2.5));
+    CHECK(static_cast<double>(fleet.refused) <= 0.001 * static_cast<double>(fleet.asked));
+}
+
 // Guards against refusals while the store is down: all leases end, and the hosts only hear each other.
 TEST_CASE("an account within its rate is hardly ever refused while the store is down") {
     limiter_fleet fleet(12, 40, 40);
--- a/tests/steering/fleet_membership_test.cpp
+++ b/tests/steering/fleet_membership_test.cpp
@@ -93,3 +93,122 @@
     CHECK(fleet.size() == 2);
     CHECK(fleet.is_heard("b", test_start + 100s));
 }
+
+namespace {
+
+region_digest digest_of(const std::string& host, std::chrono::milliseconds age = 0ms) {
+    region_digest digest;
+    digest.region = "delta";
+    digest.hosts = {{host, 1, false, 40, age}};
+    digest.demands = {{"florist", 5}};
+    digest.loads = {{"i-1", 2}};
+    return digest;
+}
+
+} // namespace
+
+// Guards against hosts of other regions that count as dead, and get no callers, because only a digest names them.
+TEST_CASE("a digest makes the hosts of another region heard") {
+    fleet_membership fleet = make_membership("a");
+    fleet.announce(make_host("d", 1, "delta"), test_start);
+    fleet.record_digest(digest_of("d", 500ms), test_start + 3s);
+    CHECK(fleet.is_heard("d", test_start + 3s));
+    CHECK(fleet.heard_peers(test_start + 3s) == 1);
+    CHECK(names_for(fleet, "delta", test_start + 5s) == std::vector<std::string>{"d"});
+    CHECK(fleet.best_informed_peer(39, test_start + 3s) == host_id("d"));
+    CHECK_FALSE(fleet.best_informed_peer(40, test_start + 3s));
+    // Counted from the report that the reporter had, not from the digest.
+    CHECK(fleet.is_heard("d", test_start + 5399ms));
+    CHECK_FALSE(fleet.is_heard("d", test_start + 5400ms));
+
+    SECTION("but not those of an earlier run, and not this host's own region") {
+        fleet.announce(make_host("d", 2, "delta"), test_start + 3s);
+        fleet.record_digest(digest_of("d"), test_start + 4s);
+        CHECK_FALSE(fleet.is_heard("d", test_start + 4s));
+        fleet.announce(make_host("b"), test_start);
+        region_digest own = digest_of("b");
+        own.region = "gulf";
+        fleet.record_digest(own, test_start + 4s);
+        CHECK_FALSE(fleet.is_heard("b", test_start + 4s));
+    }
+}
+
+// Guards against demand that counts twice while a host reports directly and through a reporter, as while a fleet grows.
+TEST_CASE("a host that a digest contains counts once") {
+    fleet_membership fleet = make_membership("a");
+    fleet.announce(make_host("d", 1, "delta"), test_start);
+    fleet.announce(make_host("e", 1, "delta"), test_start);
+    for (const std::string name : {"d", "e"}) {
+        fleet_report report = report_of(name);
+        report.demands = {{"florist", 3}};
+        report.loads = {{"i-1", 1}};
+        fleet.record_report(report, test_start);
+    }
+    CHECK(fleet.reported_demands(test_start)["florist"] == Approx(6));
+    fleet.record_digest(digest_of("d"), test_start);
+    CHECK(fleet.reported_demands(test_start)["florist"] == Approx(8));
+    CHECK(fleet.reported_loads(test_start)["i-1"] == Approx(3));
+    CHECK(fleet.heard_peers(test_start) == 2);
+    // The digest is outdated; so are the reports.
+    CHECK(fleet.reported_demands(test_start + 3s).empty());
+}
+
+// Guards against a region without a reporter, or with one per host, when the first one dies or leaves.
+TEST_CASE("hosts agree on the reporter of a region") {
+    fleet_membership first = make_membership("a");
+    fleet_membership second = make_membership("b");
+    for (fleet_membership* fleet : {&first, &second}) {
+        for (const std::string name : {"a", "b", "c"})
+            fleet->announce(make_host(name), test_start);
+    }
+    const auto meet = [&](time_point now) {
+        for (fleet_membership* fleet : {&first, &second}) {
+            for (const std::string name : {"a", "b", "c"})
+                fleet->record_report(report_of(name), now);
+        }
+    };
+    meet(test_start);
+    const auto reporter = first.reporter_of("gulf", {}, test_start);
+    REQUIRE(reporter);
+    CHECK(second.reporter_of("gulf", {}, test_start) == reporter);
+    CHECK(first.reporter_of("gulf", {*reporter}, test_start) != reporter);
+
+    meet(test_start + 1s);
+    for (fleet_membership* fleet : {&first, &second}) {
+        fleet_report leaving = report_of(*reporter);
+        leaving.is_leaving = true;
+        fleet->record_report(leaving, test_start + 1s);
+        if (fleet->options().self == *reporter)
+            fleet->set_leaving();
+    }
+    CHECK(first.reporter_of("gulf", {}, test_start + 1s) == second.reporter_of("gulf", {}, test_start + 1s));
+    CHECK(first.reporter_of("gulf", {}, test_start + 1s) != reporter);
+}
+
+// Guards against a digest that leaves out a host of the region or ages that are lost on the way.
+TEST_CASE("a digest adds up the reports of its region") {
+    fleet_membership fleet = make_membership("a");
+    fleet.announce(make_host("b"), test_start);
+    fleet.announce(make_host("d", 1, "delta"), test_start);
+    fleet_report other = report_of("b");
+    other.demands = {{"florist", 2}};
+    other.loads = {{"i-1", 1}, {"i-2", 1}};
+    other.crashes = {{7, 1}};
+    fleet.record_report(other, test_start);
+    fleet.record_report(report_of("d"), test_start);
+    fleet_report own = report_of("a");
+    own.demands = {{"florist", 1}};
+    own.loads = {{"i-1", 3}};
+    own.crashes = {{7, 1}};
+    const region_digest digest = fleet.make_digest(own, test_start + 300ms);
+    CHECK(digest.region == "gulf");
+    REQUIRE(digest.hosts.size() == 2);
+    CHECK(digest.hosts[0].name == "a");
+    CHECK(digest.hosts[1].name == "b");
+    CHECK(digest.hosts[1].age == 300ms);
+    REQUIRE(digest.demands.size() == 1);
+    CHECK(digest.demands[0].requests_per_second == Approx(3));
+    REQUIRE(digest.loads.size() == 2);
+    CHECK(digest.loads[0].in_flight == 4);
+    CHECK(digest.crashes.at(0).deaths == 2);
+}
--- a/tests/steering/load_replay.cpp
+++ b/tests/steering/load_replay.cpp
@@ -284,11 +284,7 @@
         for (const known_object& known : report.new_objects)
             receiver->fleet.find_upstream(known.upstream)->learn_object(known.object, m_now);
         receiver->membership.record_report(report, m_now);
-        std::map<upstream_id, double> totals;
-        for (const fleet_report* other : receiver->membership.current_reports(m_now)) {
-            for (const upstream_load& load : other->loads)
-                totals[load.upstream] += load.in_flight;
-        }
+        std::map<upstream_id, double> totals = receiver->membership.reported_loads(m_now);
         for (const auto& [id, upstream] : receiver->fleet.upstreams())
             upstream->set_others_in_flight(totals[id]);
         receiver->dispatcher.serve_waiting(m_now);
--- a/tests/steering/steering_fixture.h
+++ b/tests/steering/steering_fixture.h
@@ -58,8 +58,8 @@
             .peer_address = name + ":81"};
 }
 
-inline fleet_membership make_membership(const std::string& self) {
-    return fleet_membership({.self = self, .region = "gulf", .failure_domain = "gulf-a"});
+inline fleet_membership make_membership(const std::string& self, const std::string& region = "gulf") {
+    return fleet_membership({.self = self, .region = region, .failure_domain = region + "-a"});
 }
 
 } // namespace ragworthinge
