--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -2,6 +2,7 @@
 
 #include "base/boot_clock.h"
 #include "base/encoding.h"
+#include "base/http_status.h"
 #include "gateway/host_record.h"
 #include "net/await_io.h"
 
@@ -19,10 +20,6 @@
 namespace {
 
 constexpr int exit_failure = 1;
-constexpr int exit_refused = 1;
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_unavailable = 503;
 constexpr std::size_t secret_bytes = 32;
 /// Store key of the secret with which hosts authenticate their messages.
 const std::string secret_key = std::string(own_key_prefix) + "peer-secret";
@@ -106,6 +103,7 @@
     m_log.write(log_level::info, "start", field("region", m_settings.region),
                 field("failure_domain", m_settings.failure_domain),
                 field("callers", to_text(m_settings.listen.callers)), field("store", to_text(m_settings.store)),
+                field("metrics", m_settings.listen.metrics.port == 0 ? "none" : to_text(m_settings.listen.metrics)),
                 field("incarnation", m_incarnation));
     BOOST_OUTCOME_TRY(m_store, m_translator.connect_store(m_runtime, m_settings));
     m_follower = std::make_unique<fleet_follower>(m_runtime, *m_store, m_translator, m_fleet, m_membership, m_log);
@@ -163,20 +161,20 @@
 
 void gateway_process::answer_readiness(http_exchange& exchange) {
     if (!m_translator.is_readiness_target(exchange.request().target))
-        return answer_text(exchange, status_not_found, "text/plain", "unknown\n");
-    answer_text(exchange, is_ready() ? status_ok : status_unavailable, "text/plain",
+        return answer_text(exchange, http_status::not_found, "text/plain", "unknown\n");
+    answer_text(exchange, is_ready() ? http_status::ok : http_status::service_unavailable, "text/plain",
                 is_ready() ? "ready\n" : "not ready\n");
 }
 
 void gateway_process::answer_lookup(http_exchange& exchange) {
     const auto question = m_translator.parse_lookup(exchange.request().target);
     if (!question)
-        return answer_text(exchange, status_not_found, "text/plain", "unknown\n");
+        return answer_text(exchange, http_status::not_found, "text/plain", "unknown\n");
     auto hosts = m_membership.entry_hosts_for(question->region, boot_time_now());
     if (hosts.empty())
-        return answer_text(exchange, status_unavailable, "text/plain", "no entry host is known\n");
+        return answer_text(exchange, http_status::service_unavailable, "text/plain", "no entry host is known\n");
     const auto lifetime = std::min(m_options.lookup_lifetime, m_settings.bounds.lookup_lifetime);
-    answer_text(exchange, status_ok, "application/json", m_translator.print_lookup(hosts, lifetime));
+    answer_text(exchange, http_status::ok, "application/json", m_translator.print_lookup(hosts, lifetime));
 }
 
 void gateway_process::answer_metrics(http_exchange& exchange) {
@@ -188,7 +186,7 @@
     m_metrics.set("ragworthinge_connections_opened", {}, static_cast<double>(m_client.connections_opened()));
     m_metrics.set("ragworthinge_peer_bytes", {}, static_cast<double>(m_exchange.bytes_transferred()));
     m_metrics.set("ragworthinge_members", {}, static_cast<double>(m_membership.size()));
-    answer_text(exchange, status_ok, "text/plain", m_metrics.to_prometheus_text());
+    answer_text(exchange, http_status::ok, "text/plain", m_metrics.to_prometheus_text());
 }
 
 void gateway_process::apply_fleet_change() {
@@ -379,7 +377,7 @@
     auto read = read_gateway_settings(source.value().file, source.value().text);
     if (!read.findings.empty()) {
         std::cerr << to_text(read.findings);
-        return exit_refused;
+        return exit_failure;
     }
     gateway_process process(translator, source.value(), std::move(read.settings));
     if (const auto started = process.start(); !started) {
--- a/src/libraries/gateway/request_gateway.cpp
+++ b/src/libraries/gateway/request_gateway.cpp
@@ -1,6 +1,7 @@
 #include "gateway/request_gateway.h"
 
 #include "base/boot_clock.h"
+#include "base/http_status.h"
 #include "net/fiber_event.h"
 
 #include <algorithm>
@@ -13,15 +14,6 @@
 
 namespace {
 
-constexpr unsigned status_bad_request = 400;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_not_found = 404;
-constexpr unsigned status_too_large = 413;
-constexpr unsigned status_over_rate = 429;
-constexpr unsigned first_server_error = 500;
-constexpr unsigned status_broken = 502;
-constexpr unsigned status_refused = 503;
-constexpr unsigned status_timed_out = 504;
 constexpr std::size_t read_chunk_bytes = 16 * 1024;
 
 /// Seconds with milliseconds, as callers accept them.
@@ -89,18 +81,19 @@
 bool request_gateway::admit(http_exchange& exchange, carried_request& request) {
     auto caller = read_caller_request(exchange.request(), m_parts.dialect);
     if (!caller) {
-        answer_refusal(exchange, request, status_bad_request, caller.error().detail);
+        answer_refusal(exchange, request, http_status::bad_request, caller.error().detail);
         return false;
     }
     request.caller = std::move(caller).value();
     request.table = m_parts.fleet.table();
     if (request.table == nullptr) {
-        answer_refusal(exchange, request, status_refused, "no configuration is known yet", m_options.start_delay);
+        answer_refusal(exchange, request, http_status::service_unavailable, "no configuration is known yet",
+                       m_options.start_delay);
         return false;
     }
     request.route = request.table->find_route(request.caller.host_name, request.caller.path);
     if (request.route == nullptr) {
-        answer_refusal(exchange, request, status_not_found, "no route matches");
+        answer_refusal(exchange, request, http_status::not_found, "no route matches");
         return false;
     }
     const bool keys_exist = !request.table->configuration().accounts.empty();
@@ -108,7 +101,7 @@
         if (request.caller.key)
             request.account = request.table->find_account_by_key(*request.caller.key);
         if (request.account == nullptr) {
-            answer_refusal(exchange, request, status_unauthorized, "the key is missing or unknown");
+            answer_refusal(exchange, request, http_status::unauthorized, "the key is missing or unknown");
             return false;
         }
     }
@@ -134,12 +127,13 @@
         request.held_bytes += size.value();
         m_body_bytes += size.value();
         if (body.size() > limit) {
-            answer_refusal(exchange, request, status_too_large, "the body is too large");
+            answer_refusal(exchange, request, http_status::content_too_large, "the body is too large");
             exchange.abort();
             return false;
         }
         if (m_body_bytes > m_options.body_memory) {
-            answer_refusal(exchange, request, status_refused, "too many bodies are held", m_options.start_delay);
+            answer_refusal(exchange, request, http_status::service_unavailable, "too many bodies are held",
+                           m_options.start_delay);
             exchange.abort();
             return false;
         }
@@ -152,7 +146,8 @@
     const account_id account = request.account == nullptr ? account_id() : request.account->name;
     request.fingerprint = request_fingerprint(exchange.request(), account, request.outgoing.body);
     if (m_parts.crashes.is_refused(request.fingerprint, now)) {
-        answer_refusal(exchange, request, status_refused, "the request crashes its upstreams", m_options.start_delay);
+        answer_refusal(exchange, request, http_status::service_unavailable, "the request crashes its upstreams",
+                       m_options.start_delay);
         return false;
     }
     if (request.account == nullptr)
@@ -161,7 +156,7 @@
     if (take_token(request))
         return true;
     const duration wait = m_parts.limiter.time_to_token(*request.account, boot_time_now());
-    answer_refusal(exchange, request, status_over_rate, "the account is over its rate", wait);
+    answer_refusal(exchange, request, http_status::too_many_requests, "the account is over its rate", wait);
     return false;
 }
 
@@ -205,6 +200,8 @@
         // Work that must not be doubled is left to finish: nobody could tell the caller that it was broken off.
         if (request.outgoing.is_idempotent)
             request.canceller->cancel();
+        else
+            request.canceller->stop_sending();
     });
 
     do {
@@ -264,6 +261,9 @@
 
 void request_gateway::begin_attempt(carried_request& request, const placement& placed) {
     request.running = placed.upstream->start_attempt(placed.expected_work + placed.distance, boot_time_now());
+    m_parts.counters.add("ragworthinge_sends_total", {{"service", request.service},
+                                                      {"region", placed.upstream->region()},
+                                                      {"knows_object", placed.knows_object ? "true" : "false"}});
 }
 
 void request_gateway::run_attempt(carried_request& request, const placement& placed) {
@@ -293,7 +293,7 @@
     switch (attempt.type) {
     case upstream_attempt::kind::answered:
         ++request.attempts;
-        end = attempt.head.status >= first_server_error ? attempt_end::failed : attempt_end::answered;
+        end = attempt.head.status >= http_status::first_server_error ? attempt_end::failed : attempt_end::answered;
         m_parts.crashes.record_answer(request.fingerprint);
         m_parts.dispatcher.work().record_size(request.route->name, attempt.body.size());
         if (end == attempt_end::answered)
@@ -322,9 +322,7 @@
     if (attempt.type == upstream_attempt::kind::broken && attempt.connection_ended && end != attempt_end::cancelled)
         examine_crash(request, placed.upstream);
     if (attempt.wrong_upstream) {
-        // The registry still names an upstream whose address another one has; it gets nothing until it is announced
-        // anew.
-        placed.upstream->mark_lapsed(now - std::chrono::hours(1));
+        placed.upstream->mark_replaced();
         m_parts.log.write(log_level::warn, "upstream_replaced", field("upstream", facts.id),
                           field("address", facts.address));
     }
@@ -376,7 +374,7 @@
         return false;
     switch (request.last.type) {
     case upstream_attempt::kind::answered:
-        if (!request.outgoing.is_idempotent || request.last.head.status < first_server_error)
+        if (!request.outgoing.is_idempotent || request.last.head.status < http_status::first_server_error)
             return false;
         break;
     case upstream_attempt::kind::unreachable:
@@ -410,7 +408,8 @@
     }
     if (request.may_have_run) {
         const bool timed_out = request.last.type == upstream_attempt::kind::timed_out;
-        answer_refusal(exchange, request, timed_out ? status_timed_out : status_broken, request.last.problem);
+        answer_refusal(exchange, request, timed_out ? http_status::gateway_timeout : http_status::bad_gateway,
+                       request.last.problem);
         return;
     }
     if (request.account != nullptr)
@@ -418,7 +417,7 @@
     const std::string_view reason = request.refusal.reason != nullptr && *request.refusal.reason != '\0'
                                         ? std::string_view(request.refusal.reason)
                                         : std::string_view(request.last.problem);
-    answer_refusal(exchange, request, status_refused, reason,
+    answer_refusal(exchange, request, http_status::service_unavailable, reason,
                    std::max(request.refusal.retry_after, duration(std::chrono::milliseconds(100))));
 }
 
@@ -440,18 +439,19 @@
     const std::string upstream = request.tried.empty() ? "" : request.tried.back();
     const std::int64_t version = request.table == nullptr ? 0 : request.table->configuration().version;
     const duration taken = boot_time_now() - request.arrived_at;
-    const duration left = request.answer_by - boot_time_now();
-    m_parts.log.write(log_level::info, "request", field("request", request.caller.id), field("route", route),
-                      field("account", account), field("service", request.service), field("status", status),
-                      field("reason", reason), field("attempts", request.attempts), field("upstream", upstream),
-                      field("taken", to_milliseconds(taken)), field("waited", to_milliseconds(request.waited)),
-                      field("time_left", to_milliseconds(left)), field("configuration", version),
-                      field("may_have_run", request.may_have_run), field("token", request.token_source),
-                      field("candidates", request.placed_last.candidates),
-                      field("expected_wait", to_milliseconds(request.placed_last.expected_wait)),
-                      field("expected_work", to_milliseconds(request.placed_last.expected_work)),
-                      field("fleet_revision", m_parts.fleet.revision()),
-                      field("fleet_age", to_milliseconds(m_parts.fleet.age(boot_time_now()))));
+    const bool has_limit = request.answer_by != time_point();
+    const duration left = has_limit ? request.answer_by - boot_time_now() : duration::zero();
+    m_parts.log.write(
+        log_level::info, "request", field("request", request.caller.id), field("route", route),
+        field("account", account), field("service", request.service), field("status", status), field("reason", reason),
+        field("attempts", request.attempts), field("upstream", upstream), field("taken", to_milliseconds(taken)),
+        field("waited", to_milliseconds(request.waited)), field("time_left", to_milliseconds(left)),
+        field("configuration", version), field("may_have_run", request.may_have_run),
+        field("token", request.token_source), field("candidates", request.placed_last.candidates),
+        field("expected_wait", to_milliseconds(request.placed_last.expected_wait)),
+        field("expected_work", to_milliseconds(request.placed_last.expected_work)),
+        field("knows_object", request.placed_last.knows_object), field("fleet_revision", m_parts.fleet.revision()),
+        field("fleet_age", to_milliseconds(m_parts.fleet.age(boot_time_now()))));
     m_parts.counters.add("ragworthinge_requests_total", {{"route", route}, {"status", std::to_string(status)}});
     if (status != 0)
         m_parts.counters.observe_latency({.service = request.service, .region = {}, .account = account}, taken);
--- a/src/libraries/gateway/upstream_client.cpp
+++ b/src/libraries/gateway/upstream_client.cpp
@@ -1,6 +1,7 @@
 #include "gateway/upstream_client.h"
 
 #include "base/boot_clock.h"
+#include "base/http_status.h"
 #include "net/fiber_runtime.h"
 
 #include <algorithm>
@@ -12,9 +13,6 @@
 
 namespace {
 
-constexpr std::size_t read_chunk_bytes = 16 * 1024;
-constexpr unsigned status_misdirected = 421;
-
 bool is_success(unsigned status) {
     return status >= 200 && status < 300;
 }
@@ -173,7 +171,8 @@
             return {.type = upstream_attempt::kind::unreachable, .problem = opened.error().message};
         connection = std::move(opened).value();
     }
-    if (canceller.is_cancelled()) {
+    // The caller may have left while the connection was opened.
+    if (!canceller.may_send()) {
         keep(facts, std::move(connection), {});
         return {.type = upstream_attempt::kind::unreachable, .problem = "the caller left"};
     }
@@ -211,7 +210,7 @@
         auto head = connection.read_head();
         if (!head)
             return fail(head.error(), skipped > 0);
-        auto body = read_body(connection);
+        auto body = connection.read_whole_body(m_options.answer_limit);
         if (!body)
             return fail(body.error(), true);
         const auto id = head.value().fields.find(m_dialect.request_id);
@@ -226,23 +225,9 @@
     return {.type = upstream_attempt::kind::broken, .problem = "only answers to other requests came"};
 }
 
-result<std::string> upstream_client::read_body(http_connection& connection) const {
-    std::string body;
-    std::array<char, read_chunk_bytes> chunk{};
-    for (;;) {
-        BOOST_OUTCOME_TRY(const std::size_t size, connection.read_body(chunk));
-        if (size == 0)
-            return body;
-        body.append(chunk.data(), size);
-        if (body.size() > m_options.answer_limit)
-            return failure(error_code::protocol_violation,
-                           "the answer is larger than " + std::to_string(m_options.answer_limit) + " bytes");
-    }
-}
-
 upstream_attempt upstream_client::judge(http_response_head head, std::string body) const {
     upstream_attempt attempt;
-    attempt.wrong_upstream = head.status == status_misdirected;
+    attempt.wrong_upstream = head.status == http_status::misdirected_request;
     if (attempt.wrong_upstream || head.fields.find(m_dialect.not_run)) {
         attempt.type = upstream_attempt::kind::not_run;
         attempt.problem = "status " + std::to_string(head.status);
--- a/src/libraries/gateway/upstream_client.h
+++ b/src/libraries/gateway/upstream_client.h
@@ -60,12 +60,17 @@
     /// Closes the connection of the attempt under way; an attempt that starts later ends at once.
     void cancel();
 
+    /// Nothing more is sent, but what an upstream has is left to finish.
+    void stop_sending() noexcept { m_may_send = false; }
+
     bool is_cancelled() const noexcept { return m_cancelled; }
+    bool may_send() const noexcept { return m_may_send && !m_cancelled; }
     void attach(http_connection* connection) noexcept { m_connection = connection; }
 
 private:
     http_connection* m_connection = nullptr;
     bool m_cancelled = false;
+    bool m_may_send = true;
 };
 
 /// A request as it goes to an upstream.
@@ -120,7 +125,6 @@
     void keep(const upstream_facts& facts, std::unique_ptr<http_connection> connection, const http_response_head& head);
     void start_recovery(const std::shared_ptr<observed_upstream>& upstream, duration pause);
     upstream_attempt exchange(http_connection& connection, const outgoing_request& request, time_point deadline) const;
-    result<std::string> read_body(http_connection& connection) const;
     upstream_attempt judge(http_response_head head, std::string body) const;
 
     fiber_runtime& m_runtime;
--- a/src/libraries/host/request_runner.cpp
+++ b/src/libraries/host/request_runner.cpp
@@ -1,5 +1,6 @@
 #include "host/request_runner.h"
 
+#include "base/http_status.h"
 #include "net/fiber_runtime.h"
 #include "requests/header_filter.h"
 
@@ -11,7 +12,6 @@
 
 constexpr unsigned maximum_attempts = 4;
 constexpr std::chrono::milliseconds suspect_poll{20};
-constexpr unsigned first_server_error = 500;
 constexpr unsigned overload_status = 503;
 
 refusal to_refusal(refusal_reason reason, const service_id& service) {
@@ -31,7 +31,7 @@
 upstream_outcome outcome_of(unsigned status) {
     if (status == overload_status)
         return upstream_outcome::shed;
-    return status >= first_server_error ? upstream_outcome::error_answer : upstream_outcome::succeeded;
+    return status >= http_status::first_server_error ? upstream_outcome::error_answer : upstream_outcome::succeeded;
 }
 
 http_response_head stored_head(const answer_record& answer, const request_id& id) {
--- a/src/libraries/net/http_connection.cpp
+++ b/src/libraries/net/http_connection.cpp
@@ -17,6 +17,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <optional>
@@ -201,6 +202,20 @@
     return endpoint;
 }
 
+result<std::string> http_connection::read_whole_body(std::size_t byte_limit) {
+    std::string body;
+    std::array<char, 16UL * 1024> chunk{};
+    for (;;) {
+        BOOST_OUTCOME_TRY(const std::size_t size, read_body(chunk));
+        if (size == 0)
+            return body;
+        if (body.size() + size > byte_limit)
+            return failure(error_code::protocol_violation,
+                           "the answer is larger than " + std::to_string(byte_limit) + " bytes");
+        body.append(chunk.data(), size);
+    }
+}
+
 result<std::unique_ptr<http_connection>> http_connection::connect(fiber_runtime& runtime,
                                                                   const network_endpoint& endpoint, time_point deadline,
                                                                   const http_connection_options& options) {
--- a/src/libraries/net/http_connection.h
+++ b/src/libraries/net/http_connection.h
@@ -59,6 +59,9 @@
     /// Reads body bytes; zero means that the whole answer was received. A truncated answer is an error.
     virtual result<std::size_t> read_body(std::span<char> buffer) = 0;
 
+    /// Reads the rest of the body. Errors: those of `read_body`; protocol_violation if it is longer than the limit.
+    result<std::string> read_whole_body(std::size_t byte_limit);
+
     /// True once a byte of the current request may have left this process.
     virtual bool request_started() const = 0;
 
--- a/src/libraries/operators/control_flow.cpp
+++ b/src/libraries/operators/control_flow.cpp
@@ -1,5 +1,6 @@
 #include "operators/control_flow.h"
 
+#include "base/http_status.h"
 #include "operators/exit_code.h"
 
 #include <boost/json/array.hpp>
@@ -10,11 +11,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-constexpr unsigned status_unauthorized = 401;
-constexpr unsigned status_forbidden = 403;
-constexpr unsigned status_not_found = 404;
-
 result<std::string> read_operator_token(const command_options& options) {
     BOOST_OUTCOME_TRY(const auto content, options.environment().read_file(options.text("token-file")));
     return secret_from_file_content(content);
@@ -22,11 +18,11 @@
 
 result<boost::json::value> call_host(const command_options& options, const control_request& request) {
     BOOST_OUTCOME_TRY(const auto answer, options.environment().call_control(request));
-    if (answer.status == status_unauthorized || answer.status == status_forbidden)
+    if (answer.status == http_status::unauthorized || answer.status == http_status::forbidden)
         return failure(error_code::unauthorized, "the host refused the operator token");
-    if (answer.status == status_not_found)
+    if (answer.status == http_status::not_found)
         return failure(error_code::not_found, "the host knows nothing of it");
-    if (answer.status != status_ok)
+    if (answer.status != http_status::ok)
         return failure(error_code::protocol_violation,
                        "the host answered with status " + std::to_string(answer.status));
     boost::system::error_code failed;
--- a/src/libraries/operators/process_environment.cpp
+++ b/src/libraries/operators/process_environment.cpp
@@ -3,7 +3,6 @@
 #include "net/fiber_runtime.h"
 #include "store/etcd_store.h"
 
-#include <array>
 #include <utility>
 
 namespace ragworthinge {
@@ -13,19 +12,6 @@
 constexpr std::chrono::seconds control_timeout{5};
 constexpr std::size_t answer_limit_bytes = 64UL * 1024 * 1024;
 
-result<std::string> read_whole_body(http_connection& connection) {
-    std::string body;
-    std::array<char, 16384> buffer{};
-    for (;;) {
-        BOOST_OUTCOME_TRY(const std::size_t bytes, connection.read_body(buffer));
-        if (bytes == 0)
-            return body;
-        if (body.size() + bytes > answer_limit_bytes)
-            return failure(error_code::protocol_violation, "the answer is too large");
-        body.append(buffer.data(), bytes);
-    }
-}
-
 } // namespace
 
 process_environment::process_environment() = default;
@@ -69,7 +55,7 @@
     connection->begin_request(head, deadline);
     BOOST_OUTCOME_TRYV(connection->finish_request());
     BOOST_OUTCOME_TRY(const http_response_head answer, connection->read_head());
-    BOOST_OUTCOME_TRY(std::string body, read_whole_body(*connection));
+    BOOST_OUTCOME_TRY(std::string body, connection->read_whole_body(answer_limit_bytes));
     return control_answer{.status = answer.status, .body = std::move(body)};
 }
 
--- a/src/libraries/steering/fleet_state.cpp
+++ b/src/libraries/steering/fleet_state.cpp
@@ -29,7 +29,8 @@
     }
     const upstream_facts& known = state->facts();
     const bool differs = known.is_draining != facts.is_draining || known.started_at != facts.started_at ||
-                         known.address != facts.address || known.service != facts.service || state->is_lapsed();
+                         known.address != facts.address || known.service != facts.service || state->is_lapsed() ||
+                         state->is_replaced();
     state->announce(facts, region, now);
     return differs ? change_effect::applied : change_effect::unchanged;
 }
--- a/src/libraries/steering/observed_upstream.cpp
+++ b/src/libraries/steering/observed_upstream.cpp
@@ -29,6 +29,7 @@
     m_facts = std::move(facts);
     m_region = std::move(region);
     m_usable_until.reset();
+    m_is_replaced = false;
     if (restarted)
         reset_observations();
     set_cold(m_facts.cold_remaining, now);
@@ -48,7 +49,7 @@
 }
 
 bool observed_upstream::is_usable(time_point now) const noexcept {
-    return !m_facts.is_draining && !is_expired(now) && !is_paused(now);
+    return !m_facts.is_draining && !m_is_replaced && !is_expired(now) && !is_paused(now);
 }
 
 void observed_upstream::set_cold(duration remaining, time_point now) {
--- a/src/libraries/steering/observed_upstream.h
+++ b/src/libraries/steering/observed_upstream.h
@@ -59,10 +59,17 @@
 
     bool is_lapsed() const noexcept { return m_usable_until.has_value(); }
 
+    /// Another upstream answered at its address, though the registry still names this one. It gets nothing until it is
+    /// announced anew.
+    void mark_replaced() noexcept { m_is_replaced = true; }
+
+    bool is_replaced() const noexcept { return m_is_replaced; }
+
     /// Whether the grace period of a lapsed entry has passed.
     bool is_expired(time_point now) const noexcept { return m_usable_until && *m_usable_until <= now; }
 
-    /// Whether new requests may be sent: not draining, not expired, and no failed connection attempt just before.
+    /// Whether new requests may be sent: not draining, not expired, not replaced, and no failed connection attempt just
+    /// before.
     bool is_usable(time_point now) const noexcept;
 
     bool is_cold(time_point now) const noexcept { return now < m_cold_until; }
@@ -96,7 +103,6 @@
 
     /// The upstream has answered a request for the object.
     void learn_object(std::uint64_t object, time_point now);
-    void forget_object(std::uint64_t object) { m_objects.erase(object); }
     std::size_t known_objects() const noexcept { return m_objects.size(); }
 
     /// Average expected work of this host's requests there; the fallback if there are none.
@@ -111,6 +117,7 @@
     observed_upstream_options m_options;
     time_point m_cold_until;
     std::optional<time_point> m_usable_until;
+    bool m_is_replaced = false;
     std::list<running_attempt> m_running;
     double m_others_in_flight = 0;
     double m_slowness = 1;
--- a/src/libraries/store/etcd_store.cpp
+++ b/src/libraries/store/etcd_store.cpp
@@ -1,5 +1,6 @@
 #include "store/etcd_store.h"
 
+#include "base/http_status.h"
 #include "net/await_io.h"
 #include "net/fiber_runtime.h"
 #include "store/etcd_messages.h"
@@ -35,8 +36,6 @@
 
 namespace {
 
-constexpr unsigned status_ok = 200;
-
 /// Calls that may be repeated without harm, and calls that may not.
 enum class call_kind { read, write };
 
@@ -271,7 +270,7 @@
         report_failure(endpoint.value());
         return {classify(kind, exchanged.error()), is_read || !exchanged.error().sent};
     }
-    if (exchanged.value().status != status_ok) {
+    if (exchanged.value().status != http_status::ok) {
         const error problem = classify_status(kind, exchanged.value());
         const bool refused = problem.code == error_code::not_found || problem.code == error_code::invalid_argument;
         if (refused)
@@ -464,7 +463,7 @@
             [&](auto handler) { http::async_read_some(link.stream, link.buffer, parser, std::move(handler)); });
         if (received.failed())
             return failure(error_code::unavailable, received.failure.message());
-        if (parser.is_header_done() && parser.get().result_int() != status_ok)
+        if (parser.is_header_done() && parser.get().result_int() != http_status::ok)
             return failure(error_code::unavailable, "HTTP status " + std::to_string(parser.get().result_int()));
         if (pending.size() > m_options.largest_answer_bytes)
             return failure(error_code::protocol_violation, "the store sent an endless line");
--- a/tests/gateway/request_gateway_test.cpp
+++ b/tests/gateway/request_gateway_test.cpp
@@ -239,6 +239,22 @@
     CHECK_FALSE(delivered);
 }
 
+// Guards against a charge or booking that is sent although its caller left while the connection was opened.
+TEST_CASE("nothing is sent for a caller that left before") {
+    gateway_fixture host;
+    host.add_upstream("one", answer_always(200, "x"));
+    host.run([&] {
+        outgoing_request request{.head = host.make_request("POST"), .body = {}, .id = "id-1", .is_idempotent = false};
+        attempt_canceller canceller;
+        canceller.stop_sending();
+        const upstream_attempt attempt =
+            host.client.perform(host.fleet.find_upstream("one"), request, canceller, monotonic_clock::now() + 1s);
+        CHECK(attempt.type == upstream_attempt::kind::unreachable);
+        host.runtime.sleep_for(50ms);
+        CHECK(total_requests(host) == 0);
+    });
+}
+
 TEST_CASE("an upstream that refuses connections costs no attempt") {
     gateway_fixture host;
     host.configuration.routes.front().is_idempotent = false;
--- a/tests/steering/fleet_state_test.cpp
+++ b/tests/steering/fleet_state_test.cpp
@@ -44,6 +44,17 @@
     CHECK(fleet.find_upstream("two")->is_usable(test_start + 10s));
 }
 
+// Guards against an upstream that is taken for gone for good because its address was another one's for a while.
+TEST_CASE("a replaced upstream gets nothing until it is announced anew") {
+    fleet_state fleet = make_fleet();
+    fleet.apply(upstream_announced{make_upstream("one")}, test_start);
+    fleet.find_upstream("one")->mark_replaced();
+    CHECK_FALSE(fleet.find_upstream("one")->is_usable(test_start + 1s));
+    CHECK(fleet.drop_expired(test_start + 10s).empty());
+    CHECK(fleet.apply(upstream_announced{make_upstream("one")}, test_start + 11s) == change_effect::applied);
+    CHECK(fleet.find_upstream("one")->is_usable(test_start + 11s));
+}
+
 TEST_CASE("an evacuated failure domain has no upstreams until it is taken back") {
     fleet_state fleet = make_fleet();
     fleet.apply(upstream_announced{make_upstream("one", "gulf-a")}, test_start);
--- a/tests/steering/placement_policy_test.cpp
+++ b/tests/steering/placement_policy_test.cpp
@@ -56,14 +56,13 @@
 }
 
 TEST_CASE("an object goes to the upstream that knows it") {
-    placement_fixture host;
-    // Upstreams that know nothing at all are introduced to objects.
-    for (const auto& [id, upstream] : host.fleet.upstreams())
-        upstream->learn_object(1000, test_start);
     for (const std::string id : {"gulf-a0", "delta-a3"}) {
+        placement_fixture host;
+        // Upstreams that know nothing at all are introduced to objects.
+        for (const auto& [other, upstream] : host.fleet.upstreams())
+            upstream->learn_object(1000, test_start);
         host.fleet.find_upstream(id)->learn_object(5, test_start);
         CHECK(host.choose(host.make_request(5)).upstream->facts().id == id);
-        host.fleet.find_upstream(id)->forget_object(5);
     }
 }
 
