Give each refused caller a time of its own to return, and replay grey upstreams and returns

Cause: all callers that were refused for lack of room were told the same time and came back together. Now a quarter of the slots that become free is planned for them, one after the other.

--- a/src/libraries/steering/request_dispatcher.cpp
+++ b/src/libraries/steering/request_dispatcher.cpp
@@ -17,16 +17,32 @@
     return decision;
 }
 
+double request_dispatcher::own_slots(const service_id& service) const {
+    double slots = 0;
+    for (const auto& upstream : m_fleet.upstreams_of(service))
+        slots += upstream->facts().slots;
+    // Each host gets about an equal part of the slots that become free.
+    return std::max(1.0, slots / static_cast<double>(m_membership.size()));
+}
+
+dispatch_decision request_dispatcher::refuse_for_room(const char* reason, const dispatch_request& request,
+                                                      duration earliest, time_point now) {
+    const work_time typical = m_work.estimate(request.placement.route->name, request.placement.route->target_latency);
+    const double returns_at_once = own_slots(request.placement.service) * m_options.returning_part;
+    time_point& last = m_last_returns[request.placement.service];
+    last = std::max(last + std::chrono::duration_cast<duration>(typical.known_object / returns_at_once),
+                    now + std::max(earliest, m_options.shortest_return));
+    dispatch_decision refusal = refuse(reason, last - now);
+    refusal.expected_wait = earliest;
+    return refusal;
+}
+
 duration request_dispatcher::expected_line_wait(const dispatch_request& request) const {
     const auto line = m_lines.find(request.placement.service);
     const std::size_t ahead = line == m_lines.end() ? 0 : line->second.ahead_of(request.priority);
     const work_time typical = m_work.estimate(request.placement.route->name, request.placement.route->target_latency);
-    double slots = 0;
-    for (const auto& upstream : m_fleet.upstreams_of(request.placement.service))
-        slots += upstream->facts().slots;
-    // Each host gets about an equal part of the slots that become free.
-    const double own_slots = std::max(1.0, slots / static_cast<double>(m_membership.size()));
-    return std::chrono::duration_cast<duration>(typical.known_object * (static_cast<double>(ahead + 1) / own_slots));
+    return std::chrono::duration_cast<duration>(
+        typical.known_object * (static_cast<double>(ahead + 1) / own_slots(request.placement.service)));
 }
 
 dispatch_decision request_dispatcher::decide(const dispatch_request& request, time_point now) {
@@ -43,7 +59,7 @@
         decision.type = dispatch_decision::kind::send;
         return decision;
     case placement_kind::too_late:
-        return refuse("no upstream can answer in time", decision.placed.expected_wait);
+        return refuse_for_room("no upstream can answer in time", request, decision.placed.expected_wait, now);
     case placement_kind::no_upstream:
         return refuse("no upstream is usable", m_options.shortest_return);
     case placement_kind::wait:
@@ -53,11 +69,8 @@
     const duration upstream_wait =
         std::chrono::duration_cast<duration>(typical.known_object * m_options.placement.waiting_part);
     decision.expected_wait = expected_line_wait(request) + upstream_wait;
-    if (now + decision.expected_wait + typical.known_object > request.placement.answer_by) {
-        dispatch_decision refusal = refuse("all upstreams are full for too long", decision.expected_wait);
-        refusal.expected_wait = decision.expected_wait;
-        return refusal;
-    }
+    if (now + decision.expected_wait + typical.known_object > request.placement.answer_by)
+        return refuse_for_room("all upstreams are full for too long", request, decision.expected_wait, now);
     decision.type = dispatch_decision::kind::wait;
     return decision;
 }
@@ -101,7 +114,8 @@
                      now + typical.known_object <= entry.request.placement.answer_by)
                 continue;
             else
-                decision = refuse("no slot became free in time", m_options.shortest_return);
+                decision =
+                    refuse_for_room("no slot became free in time", entry.request, m_options.shortest_return, now);
             if (decision.type == dispatch_decision::kind::send)
                 line.record_service(entry.request.account, now);
             const outcome_handler on_outcome = std::move(entry.on_outcome);
--- a/src/libraries/steering/request_dispatcher.h
+++ b/src/libraries/steering/request_dispatcher.h
@@ -19,6 +19,9 @@
     placement_options placement;
     /// Shortest Retry-After, so that a refused caller does not return into the same moment.
     duration shortest_return = std::chrono::milliseconds(100);
+    /// Part of the slots that become free that is left to callers that return after a refusal; the rest is for new
+    /// requests.
+    double returning_part = 0.25;
 };
 
 /// A request that asks for an upstream.
@@ -71,15 +74,21 @@
         outcome_handler on_outcome;
     };
 
+    double own_slots(const service_id& service) const;
     duration expected_line_wait(const dispatch_request& request) const;
     dispatch_decision refuse(const char* reason, duration retry_after) const;
 
+    /// Refuses for lack of room and gives the caller a time of its own to return.
+    dispatch_decision refuse_for_room(const char* reason, const dispatch_request& request, duration earliest,
+                                      time_point now);
+
     request_dispatcher_options m_options;
     fleet_state& m_fleet;
     fleet_membership& m_membership;
     placement_policy m_placements;
     mutable work_estimate m_work;
     std::map<service_id, waiting_line> m_lines;
+    std::map<service_id, time_point> m_last_returns; ///< When the caller refused last is expected back.
     std::map<waiting_ticket, waiting_entry> m_waiting;
 };
 
--- a/tests/steering/load_replay_test.cpp
+++ b/tests/steering/load_replay_test.cpp
@@ -122,3 +122,49 @@
     CHECK(figures.part(figures.refused) <= 0.02);
     CHECK(figures.part(figures.in_target) >= 0.75);
 }
+
+// Guards against upstreams that fail a part of their requests, whose health answers are good, and that are avoided too
+// late or for good.
+TEST_CASE("requests avoid upstreams that fail a part of them, and return") {
+    replay_options options;
+    std::size_t arrivals_at_end = 0;
+    const auto arrivals = [](const load_replay& fleet) {
+        return fleet.arrivals_at(0) + fleet.arrivals_at(1) + fleet.arrivals_at(2);
+    };
+    options.script = [&](load_replay& fleet, duration time) {
+        for (std::size_t index = 0; index < 3; ++index)
+            fleet.set_failing(index, time > 10s && time < 17s ? 0.6 : 0);
+        if (time == 22s)
+            arrivals_at_end = arrivals(fleet);
+    };
+    const comparison all = compare("3 of 16 fail 0.6", options);
+    std::cout << "3 of 16 fail 0.6: failed " << all.steering.failed << ", least loaded " << all.least_loaded.failed
+              << ", two choices " << all.two_choices.failed << "\n";
+    CHECK(2 * all.steering.failed <= all.two_choices.failed);
+    CHECK(2 * all.steering.failed <= all.least_loaded.failed);
+    arrivals_at_end = 0;
+    std::size_t later = 0;
+    options.length = 30s;
+    auto script = options.script;
+    options.script = [&](load_replay& fleet, duration time) {
+        script(fleet, time);
+        later = arrivals(fleet);
+    };
+    replay(options, replay_strategy::steering);
+    CHECK(later > arrivals_at_end);
+}
+
+// Guards against a Retry-After after which a caller is refused again.
+TEST_CASE("callers that come back after a refusal are served", "[returns]") {
+    replay_options options;
+    options.callers_return = true;
+    options.rate = [](duration time) {
+        return time > 10s && time < 14s ? 280.0 : 93.0;
+    };
+    const replay_figures figures = replay(options, replay_strategy::steering);
+    print("burst of 3, callers return", "steering", figures);
+    std::cout << "burst of 3, callers return: returned " << figures.returned << ", served " << figures.returned_served
+              << "\n";
+    CHECK(figures.returned > 0);
+    CHECK(static_cast<double>(figures.returned_served) >= 0.9 * static_cast<double>(figures.returned));
+}
