Do not take a quiet watch for an outage of the store

Cause: the time of a watch that was answered without a change counted as silence of the store. A quiet cycle takes 0.9 s and 1.5 s, more than the 2.2 s after which vanished entries count as lapsed, so an upstream that was removed in a quiet spell got requests for up to two more seconds. Found by reading the code; the new test failed first. Now the time until the question that was answered counts. Ruled out: longer pauses and watches where the bounds allow them, since a connection that went silent would then be noticed after the host counts as in touch again.

--- a/src/libraries/gateway/fleet_follower.cpp
+++ b/src/libraries/gateway/fleet_follower.cpp
@@ -60,9 +60,10 @@
 
 void fleet_follower::follow() {
     for (;;) {
+        const time_point asked_at = boot_time_now();
         const auto outcome = m_is_synchronized ? read_changes() : read_everything();
         if (outcome) {
-            record_contact();
+            record_contact(asked_at);
             m_runtime.sleep_for(m_options.poll_period);
             continue;
         }
@@ -70,7 +71,7 @@
             m_log.write(log_level::info, "store_history_lost", field("revision", m_revision));
             m_is_synchronized = false;
             if (const auto reread = read_everything(); reread) {
-                record_contact();
+                record_contact(asked_at);
                 m_runtime.sleep_for(m_options.poll_period);
                 continue;
             }
@@ -84,9 +85,9 @@
     }
 }
 
-void fleet_follower::record_contact() {
+void fleet_follower::record_contact(time_point asked_at) {
     const time_point now = boot_time_now();
-    if (now - m_contact_at > m_options.away_limit)
+    if (asked_at - m_contact_at > m_options.away_limit)
         m_returned_at = now;
     if (!m_has_contact) {
         m_has_contact = true;
@@ -107,6 +108,7 @@
 result<void> fleet_follower::read_everything() {
     std::vector<std::string> prefixes = m_translator.watched_prefixes();
     prefixes.emplace_back(own_key_prefix);
+    const time_point asked_at = boot_time_now();
     std::map<std::string, known_entry> entries;
     std::optional<std::int64_t> oldest;
     for (const std::string& prefix : prefixes) {
@@ -116,17 +118,17 @@
         // Changes between two reads come once more with the first watch.
         oldest = std::min(oldest.value_or(range.revision), range.revision);
     }
-    record_contact();
+    record_contact(asked_at);
     replace_entries(entries, oldest.value_or(0), "store");
     return boost::outcome_v2::success();
 }
 
 result<void> fleet_follower::read_changes() {
-    const bool was_away = boot_time_now() - m_contact_at > m_options.away_limit;
+    const time_point asked_at = boot_time_now();
     BOOST_OUTCOME_TRY(const auto revision,
                       m_store.watch_prefix("", m_revision, [&](const std::vector<store_event>& events) {
-                          if (was_away)
-                              record_contact();
+                          // Before the events: those after an outage may be entries that lapsed.
+                          record_contact(asked_at);
                           for (const store_event& event : events)
                               apply_entry(event.key, event.value, event.mod_revision, "store");
                           return false;
--- a/src/libraries/gateway/fleet_follower.h
+++ b/src/libraries/gateway/fleet_follower.h
@@ -24,7 +24,8 @@
     duration retry_period = std::chrono::milliseconds(300);
     /// Without an answer for this long, changes are taken from peers.
     duration peer_limit = std::chrono::milliseconds(1200);
-    /// After a longer silence, upstream entries that vanished count as lapsed and not as removed.
+    /// After a longer time without an answered question, upstream entries that vanished count as lapsed and not as
+    /// removed. The time of a question that is answered does not count: a watch waits for changes.
     duration away_limit = std::chrono::milliseconds(2200);
     /// Time after the store's return in which entries may still lapse. See `observed_upstream_options::lapse_grace`.
     duration return_time = std::chrono::milliseconds(2000);
@@ -78,7 +79,7 @@
     void apply_change(const std::string& key, const fleet_change& change, std::int64_t revision,
                       std::string_view source);
     entry_translation translate(const std::string& key, const std::optional<std::string>& value) const;
-    void record_contact();
+    void record_contact(time_point asked_at);
     void record_failure(const error& cause);
     bool may_have_lapsed(time_point now) const { return m_returned_at && now < *m_returned_at + m_options.return_time; }
 
--- a/tests/gateway/fleet_follower_test.cpp
+++ b/tests/gateway/fleet_follower_test.cpp
@@ -153,6 +153,25 @@
     });
 }
 
+// Guards against a quiet watch that is taken for an outage: an upstream that was removed then got requests for two more
+// seconds.
+TEST_CASE("an entry that is removed after a quiet watch is gone at once") {
+    follower_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.store.put("up/one", "x");
+        host.store.before_call = [&](std::string_view call) {
+            if (call == "watch_prefix")
+                host.runtime.sleep_for(150ms);
+        };
+        host.follower.start();
+        host.wait(350ms);
+        host.store.remove("up/one");
+        host.wait(200ms);
+        CHECK(host.fleet.upstreams().empty());
+    });
+}
+
 // Guards against a host that the store refuses and that keeps old keys and draining upstreams in use.
 TEST_CASE("a host that cannot reach the store learns from a peer") {
     follower_fixture other;
