--- a/src/libraries/gateway/fleet_exchange.cpp
+++ b/src/libraries/gateway/fleet_exchange.cpp
@@ -99,10 +99,10 @@
     region_digest digest = m_membership.make_digest(report, now);
     digest.new_objects = std::move(objects);
     digest.new_objects.insert(digest.new_objects.end(), report.new_objects.begin(), report.new_objects.end());
-    send_digest(std::move(digest), now);
+    send_digest(digest, now);
 }
 
-void fleet_exchange::send_digest(region_digest digest, time_point now) {
+void fleet_exchange::send_digest(const region_digest& digest, time_point now) {
     const auto message = make_message(digest_message, write_region_digest(digest));
     for (const region_id& region : m_membership.other_regions()) {
         const auto reporter = m_membership.reporter_of(region, m_unreachable, now);
--- a/src/libraries/gateway/fleet_exchange.h
+++ b/src/libraries/gateway/fleet_exchange.h
@@ -64,7 +64,7 @@
     std::string answer(std::string_view message);
     void take_report(std::string_view text);
     void take_digest(std::string_view text, bool is_forwarded);
-    void send_digest(region_digest digest, time_point now);
+    void send_digest(const region_digest& digest, time_point now);
 
     /// Sends to a peer, unless an earlier message of the same stream waits for its acknowledgement.
     void send(const entry_host& peer, const std::string& stream, std::shared_ptr<const std::string> message);
