Try a region's reporter again when none of its hosts could be reached

Cause: a host to which a digest could not be sent was passed over until something reached it. In a cut between regions of some seconds all hosts of the other region ended up there, and no digest was sent to it ever after. Found by reading the change again; the test failed first.

--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -62,14 +62,14 @@
     m_digests[region] = {std::move(digest), now};
 }
 
-std::optional<host_id> fleet_membership::reporter_of(const region_id& region, const std::set<host_id>& excluded,
+std::optional<host_id> fleet_membership::reporter_of(const region_id& region, const std::set<host_id>& unreachable,
                                                      time_point now) const {
     std::vector<host_id> heard;
     std::vector<host_id> registered;
     for (const auto& [name, known] : m_members) {
         const bool is_self = name == m_options.self;
         const bool leaves = is_self ? m_leaving : known.report.is_leaving;
-        if (known.host.region != region || excluded.contains(name) || leaves)
+        if (known.host.region != region || unreachable.contains(name) || leaves)
             continue;
         if (is_self || is_heard(known, now))
             heard.push_back(name);
@@ -78,6 +78,8 @@
     }
     if (region == m_options.region && !m_members.contains(m_options.self) && !m_leaving)
         heard.push_back(m_options.self);
+    if (heard.empty() && registered.empty() && !unreachable.empty())
+        return reporter_of(region, {}, now);
     return highest_ranked_host("reporter/" + region, heard.empty() ? registered : heard);
 }
 
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -63,8 +63,9 @@
     bool uses_reporters() const { return size() > m_options.direct_fleet_size; }
 
     /// The host that adds up the reports of its region: the first in everyone's ranking of those that are heard and
-    /// stay. While none of a region is heard, the first that is registered and not excluded.
-    std::optional<host_id> reporter_of(const region_id& region, const std::set<host_id>& excluded,
+    /// stay; while none of a region is heard, the first that is registered. Hosts that could not be reached are passed
+    /// over unless that leaves none: after a cut between regions one must be tried again.
+    std::optional<host_id> reporter_of(const region_id& region, const std::set<host_id>& unreachable,
                                        time_point now) const;
 
     /// Adds up the direct reports of this host's region for other regions; `own` is this host's report.
--- a/tests/steering/fleet_membership_test.cpp
+++ b/tests/steering/fleet_membership_test.cpp
@@ -172,6 +172,8 @@
     REQUIRE(reporter);
     CHECK(second.reporter_of("gulf", {}, test_start) == reporter);
     CHECK(first.reporter_of("gulf", {*reporter}, test_start) != reporter);
+    // After a cut in which none could be reached one must be tried again.
+    CHECK(first.reporter_of("gulf", {"a", "b", "c"}, test_start) == reporter);
 
     meet(test_start + 1s);
     for (fleet_membership* fleet : {&first, &second}) {
