Bound Retry-After in a long overload

Cause: each refused caller was planned behind the one before, so that a minute of overload would have told callers to come back after minutes. Found by reading the change again; the test failed first without the bound.

--- a/src/libraries/steering/request_dispatcher.cpp
+++ b/src/libraries/steering/request_dispatcher.cpp
@@ -32,6 +32,7 @@
     time_point& last = m_last_returns[request.placement.service];
     last = std::max(last + std::chrono::duration_cast<duration>(typical.known_object / returns_at_once),
                     now + std::max(earliest, m_options.shortest_return));
+    last = std::min(last, now + m_options.longest_return);
     dispatch_decision refusal = refuse(reason, last - now);
     refusal.expected_wait = earliest;
     return refusal;
--- a/src/libraries/steering/request_dispatcher.h
+++ b/src/libraries/steering/request_dispatcher.h
@@ -22,6 +22,9 @@
     /// Part of the slots that become free that is left to callers that return after a refusal; the rest is for new
     /// requests.
     double returning_part = 0.25;
+    /// Longest Retry-After: overload ends, and callers do not wait longer. Source: a third of the longest time limit on
+    /// the users' sheets, 12 s.
+    duration longest_return = std::chrono::seconds(4);
 };
 
 /// A request that asks for an upstream.
