Take bounds of any form, and start with a default where one cannot be used

Cause: the platform scales bounds (430 x 0.6 and the like); a number with more than three decimals was refused, so no process of large/ listened. Change: bounds may have any count of decimals; a bound whose value cannot be used is replaced by its default, or at a reload by the one in force, with a log line. Unknown fields and everything else stay findings with their place. Ruled out: rounding in the template, which cannot compute.

--- a/src/libraries/configuration/object_reader.cpp
+++ b/src/libraries/configuration/object_reader.cpp
@@ -169,7 +169,7 @@
     return content;
 }
 
-double object_reader::number(std::string_view name, presence wanted, number_range range, double fallback) {
+double object_reader::computed_number(std::string_view name, presence wanted, number_range range, double fallback) {
     const auto* value = find(name, wanted);
     if (value == nullptr)
         return fallback;
@@ -182,7 +182,11 @@
         report(name, "must be between " + number_text(range.minimum) + " and " + number_text(range.maximum));
         return fallback;
     }
-    const double scaled = content * number_resolution;
+    return content;
+}
+
+double object_reader::number(std::string_view name, presence wanted, number_range range, double fallback) {
+    const double scaled = computed_number(name, wanted, range, fallback) * number_resolution;
     if (std::abs(scaled - std::round(scaled)) > 1e-3) {
         report(name, "has more than three decimals");
         return fallback;
--- a/src/libraries/configuration/object_reader.h
+++ b/src/libraries/configuration/object_reader.h
@@ -87,6 +87,9 @@
     /// Number with at most three decimals; Boost.JSON reads longer ones inexactly.
     double number(std::string_view name, presence wanted, number_range range, double fallback = 0);
 
+    /// Number as another program prints it, with any count of decimals; read to about 15 digits.
+    double computed_number(std::string_view name, presence wanted, number_range range, double fallback = 0);
+
     std::int64_t integer(std::string_view name, presence wanted, integer_range range, std::int64_t fallback = 0);
 
     bool boolean(std::string_view name, bool fallback);
--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -299,6 +299,11 @@
     reload_settings("changed file");
 }
 
+void gateway_process::log_replaced_bounds(const std::vector<finding>& replaced) {
+    if (!replaced.empty())
+        m_log.write(log_level::warn, "bounds_replaced", field("findings", to_text(replaced)));
+}
+
 void gateway_process::reload_settings(std::string_view cause) {
     const auto current = m_translator.read_settings();
     if (!current) {
@@ -308,12 +313,13 @@
     if (current.value().text == m_source.text)
         return;
     m_source = current.value();
-    const auto read = read_gateway_settings(m_source.file, m_source.text);
+    const auto read = read_gateway_settings(m_source.file, m_source.text, m_settings.bounds);
     if (!read.findings.empty()) {
         m_log.write(log_level::warn, "settings_refused", field("cause", cause),
                     field("findings", to_text(read.findings)));
         return;
     }
+    log_replaced_bounds(read.replaced_bounds);
     // Addresses and the place of the host take effect at the next start.
     m_settings.bounds = read.settings.bounds;
     m_settings.level = read.settings.level;
@@ -380,6 +386,7 @@
         return exit_failure;
     }
     gateway_process process(translator, source.value(), std::move(read.settings));
+    process.log_replaced_bounds(read.replaced_bounds);
     if (const auto started = process.start(); !started) {
         std::cerr << started.error().message << '\n';
         return exit_failure;
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -48,6 +48,9 @@
     /// Opens the listeners and starts all fibers. Errors: unavailable, invalid_argument.
     result<void> start();
 
+    /// Says in the log which bounds of the settings could not be read, so that others are in force.
+    void log_replaced_bounds(const std::vector<finding>& replaced);
+
     /// Runs until the process was told to stop and its requests have ended.
     void run();
 
--- a/src/libraries/gateway/gateway_settings.cpp
+++ b/src/libraries/gateway/gateway_settings.cpp
@@ -2,12 +2,16 @@
 
 #include "configuration/settings_document.h"
 
+#include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace ragworthinge {
 
 namespace {
 
+constexpr std::string_view bounds_field = "bounds";
+
 ip_endpoint read_endpoint(object_reader& reader, std::string_view name, presence wanted) {
     return reader.parsed(name, wanted, [](std::string_view text) { return parse_ip_endpoint(text); });
 }
@@ -27,22 +31,23 @@
     constexpr number_range sensible{.minimum = 0.1, .maximum = 86'400};
     const std::chrono::duration<double> fallback_seconds = fallback;
     const std::chrono::duration<double> value(
-        reader.number(name, presence::optional, sensible, fallback_seconds.count()));
+        reader.computed_number(name, presence::optional, sensible, fallback_seconds.count()));
     return std::chrono::duration_cast<std::chrono::milliseconds>(value);
 }
 
-gateway_bounds read_bounds(object_reader& reader) {
-    gateway_bounds bounds;
+gateway_bounds read_bounds(object_reader& reader, const gateway_bounds& fallback) {
+    gateway_bounds bounds = fallback;
     bounds.lookup_lifetime = read_seconds(reader, "lookup_lifetime_s", bounds.lookup_lifetime);
     bounds.stop_time = read_seconds(reader, "stop_time_s", bounds.stop_time);
-    bounds.retry_ratio = reader.number("retry_ratio", presence::optional, {}, bounds.retry_ratio);
-    bounds.extra_retries = reader.number("extra_retries", presence::optional, {}, bounds.extra_retries);
+    bounds.retry_ratio = reader.computed_number("retry_ratio", presence::optional, {}, bounds.retry_ratio);
+    bounds.extra_retries = reader.computed_number("extra_retries", presence::optional, {}, bounds.extra_retries);
     bounds.retry_window = read_seconds(reader, "retry_window_s", bounds.retry_window);
     return bounds;
 }
 
-gateway_settings read_settings(object_reader& reader) {
+gateway_settings read_settings(object_reader& reader, const gateway_bounds& fallback) {
     gateway_settings settings;
+    settings.bounds = fallback;
     settings.host = reader.text("host", presence::required);
     settings.region = reader.text("region", presence::required);
     settings.failure_domain = reader.text("failure_domain", presence::required);
@@ -53,7 +58,8 @@
         const auto name = domain.text("name", presence::required);
         settings.regions[name] = domain.text("region", presence::required);
     });
-    reader.object("bounds", presence::optional, [&](object_reader& bounds) { settings.bounds = read_bounds(bounds); });
+    reader.object(bounds_field, presence::optional,
+                  [&](object_reader& bounds) { settings.bounds = read_bounds(bounds, fallback); });
     settings.level = reader.choice("log_level",
                                    std::vector<std::pair<std::string, log_level>>{{"debug", log_level::debug},
                                                                                   {"info", log_level::info},
@@ -66,12 +72,23 @@
 
 } // namespace
 
-gateway_settings_result read_gateway_settings(const std::string& file, std::string_view text) {
-    return read_settings_document<gateway_settings_result>(file, text, read_settings);
+gateway_settings_result read_gateway_settings(const std::string& file, std::string_view text,
+                                              const gateway_bounds& fallback) {
+    auto outcome = read_settings_document<gateway_settings_result>(
+        file, text, [&](object_reader& reader) { return read_settings(reader, fallback); });
+    const std::vector<std::string> fields = gateway_settings_fields();
+    const auto is_kept = [&](const finding& problem) {
+        return !problem.path.starts_with(bounds_field) ||
+               std::find(fields.begin(), fields.end(), problem.path) == fields.end();
+    };
+    const auto replaced = std::stable_partition(outcome.findings.begin(), outcome.findings.end(), is_kept);
+    std::move(replaced, outcome.findings.end(), std::back_inserter(outcome.replaced_bounds));
+    outcome.findings.erase(replaced, outcome.findings.end());
+    return outcome;
 }
 
 std::vector<std::string> gateway_settings_fields() {
-    return settings_fields(read_settings);
+    return settings_fields([](object_reader& reader) { return read_settings(reader, {}); });
 }
 
 } // namespace ragworthinge
--- a/src/libraries/gateway/gateway_settings.h
+++ b/src/libraries/gateway/gateway_settings.h
@@ -47,12 +47,16 @@
 struct gateway_settings_result {
     gateway_settings settings;
     std::vector<finding> findings;
+    /// Bounds that could not be read. The fallback is in force for them, so a host can run.
+    std::vector<finding> replaced_bounds;
 };
 
 /// Paths of all fields that the reader knows, sorted.
 std::vector<std::string> gateway_settings_fields();
 
-/// Reads settings from JSON with comments; collects all findings with their places.
-gateway_settings_result read_gateway_settings(const std::string& file, std::string_view text);
+/// Reads settings from JSON with comments; collects all findings with their places. Bounds that are missing or cannot
+/// be read are taken from `fallback`: they come from another program, and a host that does not start serves nobody.
+gateway_settings_result read_gateway_settings(const std::string& file, std::string_view text,
+                                              const gateway_bounds& fallback = {});
 
 } // namespace ragworthinge
--- a/tests/gateway/codecs_test.cpp
+++ b/tests/gateway/codecs_test.cpp
@@ -11,6 +11,7 @@
 #include <iterator>
 #include <map>
 #include <regex>
+#include <sstream>
 
 using namespace ragworthinge;
 
@@ -121,6 +122,53 @@
     CHECK(documented == gateway_settings_fields());
 }
 
+// Guards against a host that does not start because of the form of a number that another program has computed.
+TEST_CASE("bounds are taken with any count of decimals, and one that cannot be used is replaced") {
+    const auto with_bounds = [](const std::string& bounds) {
+        return R"({
+            "host": "front-1", "region": "gulf", "failure_domain": "gulf-a",
+            "listen": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "lookups": "127.0.0.1:3",
+                       "peers": "127.0.0.1:4"},
+            "store": "127.0.0.1:5",
+            "failure_domains": [{"name": "gulf-a", "region": "gulf"}],
+            "bounds": )" +
+               bounds + "}";
+    };
+    for (const double scale : {1.0, 0.6, 1.0 / 3, 1.0 / 7}) {
+        for (const double value : {0.1, 0.2, 5.0, 56.0, 430.0, 64.35, 1234567.0}) {
+            std::ostringstream text;
+            text.precision(17);
+            text << value * scale;
+            INFO(text.str());
+            const auto read = read_gateway_settings("settings", with_bounds(R"({"extra_retries": )" + text.str() +
+                                                                            R"(, "retry_ratio": )" + text.str() + "}"));
+            CHECK(read.findings.empty());
+            CHECK(read.replaced_bounds.empty());
+            CHECK(read.settings.bounds.extra_retries == Approx(value * scale));
+            CHECK(read.settings.bounds.retry_ratio == Approx(value * scale));
+        }
+    }
+    for (const std::string form : {"1e2", "100.0", "100", "1E+2"}) {
+        INFO(form);
+        const auto read = read_gateway_settings("settings", with_bounds(R"({"extra_retries": )" + form + "}"));
+        CHECK(read.replaced_bounds.empty());
+        CHECK(read.settings.bounds.extra_retries == Approx(100));
+    }
+    const gateway_bounds in_force{.extra_retries = 77};
+    for (const std::string form : {"-3", "\"many\"", "null", "true", "[1]"}) {
+        INFO(form);
+        const std::string text = with_bounds(R"({"extra_retries": )" + form + R"(, "stop_time_s": 7})");
+        const auto read = read_gateway_settings("settings", text, in_force);
+        CHECK(read.findings.empty());
+        REQUIRE(read.replaced_bounds.size() == 1);
+        CHECK(read.replaced_bounds.front().path == "bounds.extra_retries");
+        CHECK(read.replaced_bounds.front().position.line > 0);
+        CHECK(read.settings.bounds.extra_retries == Approx(77));
+        CHECK(read.settings.bounds.stop_time == std::chrono::seconds(7));
+    }
+    CHECK(read_gateway_settings("settings", with_bounds(R"({"extra_retreis": 3})")).findings.size() == 1);
+}
+
 TEST_CASE("settings are read, and every problem has its place") {
     const std::string good = R"({
         // a comment
