--- a/tests/platform/entry_decoder_test.cpp
+++ b/tests/platform/entry_decoder_test.cpp
@@ -56,6 +56,20 @@
     CHECK(configuration.limits.body_bytes == 1000);
 }
 
+// Guards against downloads that are not broken off when their callers leave and not repeated when their answer is lost.
+TEST_CASE("the kind of a route says whether its requests may be repeated") {
+    const auto repeats = [](const std::string& kind) {
+        const auto read = decode_configuration(replaced(configuration_text, "\"safe\"", "\"" + kind + "\""));
+        REQUIRE(read);
+        return read.value().routes[0].is_idempotent;
+    };
+    CHECK(repeats("safe"));
+    CHECK(repeats("download"));
+    CHECK_FALSE(repeats("unsafe"));
+    CHECK_FALSE(repeats("keyed"));
+    CHECK_FALSE(repeats("a kind of later days"));
+}
+
 // Guards against half a configuration in force.
 TEST_CASE("a configuration with a wrong field is refused as a whole") {
     for (const auto& [from, to] :
