Rank pool keepers once per change of the fleet and use reports five times a second

Cause: every 50 ms each host ranked all hosts for each account to find the keepers of pools: with 195 hosts and 140 accounts 540,000 hashes a second. Change: the keeper per account is kept until the list of hosts that may keep pools changes; in fleets with reporters, reports are added up every 200 ms. Ruled out: placement; at 7 requests a second and host it is small.

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -132,12 +132,13 @@
     m_subscriptions.push_back(m_timers.subscribe(m_options.line_period, [this](time_point) {
         const time_point now = boot_time_now();
         // Reports are added up together: with many hosts each would otherwise cost a pass over all of them.
+        const duration pause = m_membership.uses_reporters() ? m_options.relayed_use_period : duration::zero();
         const bool is_overdue = now - m_shares_at > m_options.report_period * 2;
-        if (std::exchange(m_has_new_reports, false))
-            update_others_in_flight(now);
-        else if (!is_overdue)
-            return serve_line(now);
-        update_shares(now);
+        if ((m_has_new_reports && now - m_shares_at >= pause) || is_overdue) {
+            if (std::exchange(m_has_new_reports, false))
+                update_others_in_flight(now);
+            update_shares(now);
+        }
         serve_line(now);
     }));
     m_subscriptions.push_back(m_timers.subscribe(m_options.report_period, [this](time_point) {
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -29,6 +29,9 @@
     duration report_period = std::chrono::milliseconds(800);
     /// Waiting requests are looked at this often besides each freed slot, and new reports are added up.
     duration line_period = std::chrono::milliseconds(50);
+    /// In a fleet with reporters, reports are added up this often at most. They are up to two report periods old
+    /// anyway.
+    duration relayed_use_period = std::chrono::milliseconds(200);
     duration upkeep_period = std::chrono::seconds(1);
     /// Callers keep look-ups for this long: short, so that they leave a dead host soon, but each look-up costs a
     /// request.
--- a/src/libraries/steering/account_limiter.cpp
+++ b/src/libraries/steering/account_limiter.cpp
@@ -114,6 +114,13 @@
     return highest_ranked_host("pool/" + account, fleet.pool_keepers(now)).value_or(fleet.options().self);
 }
 
+const host_id& account_limiter::cached_keeper(const account_id& account, const host_id& self) {
+    const auto [entry, created] = m_keeper_of.try_emplace(account);
+    if (created)
+        entry->second = highest_ranked_host("pool/" + account, m_keepers).value_or(self);
+    return entry->second;
+}
+
 void account_limiter::give_back(const account_id& account) {
     if (const auto found = m_accounts.find(account); found != m_accounts.end())
         found->second.own.tokens += 1;
@@ -132,6 +139,10 @@
     const double heard = static_cast<double>(fleet.heard_peers(now)) + 1;
     const double available = heard / hosts; // each host that is not heard may spend its equal part
     m_default_share = 1 / hosts;
+    if (std::vector<host_id> keepers = fleet.pool_keepers(now); keepers != m_keepers) {
+        m_keepers = std::move(keepers);
+        m_keeper_of.clear();
+    }
 
     for (const steering_account& account : table.configuration().accounts) {
         account_state& state = state_of(account, now);
@@ -151,7 +162,7 @@
         const double divided = available * (1 - pooled);
         state.own.share = divided * (equal + (1 - m_options.equal_part) * by_demand);
         state.own.tokens = std::min(state.own.tokens, std::max(1.0, account.burst * state.own.share));
-        const bool keeps_pool = pool_keeper(account.name, fleet, now) == fleet.options().self;
+        const bool keeps_pool = cached_keeper(account.name, fleet.options().self) == fleet.options().self;
         // A host that becomes the keeper starts empty: what the last one granted is unknown.
         if (!keeps_pool || state.pool.share <= 0)
             state.pool.tokens = 0;
--- a/src/libraries/steering/account_limiter.h
+++ b/src/libraries/steering/account_limiter.h
@@ -5,6 +5,7 @@
 #include "steering/steering_table.h"
 
 #include <map>
+#include <vector>
 
 namespace ragworthinge {
 
@@ -100,12 +101,15 @@
     };
 
     double faded_demand(account_state& state, time_point now) const;
+    const host_id& cached_keeper(const account_id& account, const host_id& self);
     account_state& state_of(const steering_account& account, time_point now);
 
     account_limiter_options m_options;
     bool m_is_relayed = false;  ///< Reports reach other regions through reporters.
     double m_default_share = 0; ///< Of an account that appears; zero until the number of hosts is known.
     std::map<account_id, account_state> m_accounts;
+    std::vector<host_id> m_keepers;            ///< Hosts that could keep pools at the last update.
+    std::map<account_id, host_id> m_keeper_of; ///< Chosen from them; ranking all hosts per account is slow.
 };
 
 } // namespace ragworthinge
