Run requests that are sent ahead side by side

Cause: a connection's requests ran one after the other, so of four sent together, with upstreams that need 0.5 s, the last was answered after 2 s. Besides, a watch for the caller's end stopped at the first byte of a later request, so work went on for callers that had left. Change: bodiless requests that may be repeated run in fibers of their own, at most 8 per connection and 256 kB of waiting answers; their answers leave in order. Others wait for their turn. The connection reads on, up to a limit, while requests run, so that its end is noticed. A stop answers what has begun; only the last answer says close.

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -114,8 +114,14 @@
     m_registration =
         std::make_unique<host_registration>(m_runtime, *m_store, describe(m_settings, m_incarnation), m_log);
 
-    BOOST_OUTCOME_TRY(
-        m_callers, listen(m_settings.listen.callers, [this](http_exchange& exchange) { m_gateway.handle(exchange); }));
+    BOOST_OUTCOME_TRY(m_callers, http_server::listen(m_runtime,
+                                                     {.address = m_settings.listen.callers.address,
+                                                      .port = m_settings.listen.callers.port,
+                                                      .may_overlap =
+                                                          [this](const http_request_head& head) {
+                                                              return m_gateway.may_overlap(head);
+                                                          }},
+                                                     [this](http_exchange& exchange) { m_gateway.handle(exchange); }));
     BOOST_OUTCOME_TRY(m_readiness, listen(m_settings.listen.readiness,
                                           [this](http_exchange& exchange) { answer_readiness(exchange); }));
     BOOST_OUTCOME_TRY(m_lookups,
--- a/src/libraries/gateway/request_gateway.cpp
+++ b/src/libraries/gateway/request_gateway.cpp
@@ -69,6 +69,15 @@
     return std::exchange(m_new_objects, {});
 }
 
+bool request_gateway::may_overlap(const http_request_head& head) const {
+    const auto table = m_parts.fleet.table();
+    const auto caller = read_caller_request(head, m_parts.dialect);
+    if (table == nullptr || !caller)
+        return false;
+    const steering_route* route = table->find_route(caller.value().host_name, caller.value().path);
+    return route != nullptr && route->is_idempotent;
+}
+
 void request_gateway::handle(http_exchange& exchange) {
     carried_request request(boot_time_now());
     ++m_under_way;
--- a/src/libraries/gateway/request_gateway.h
+++ b/src/libraries/gateway/request_gateway.h
@@ -49,6 +49,10 @@
     /// Answers one request. Blocks the fiber.
     void handle(http_exchange& exchange);
 
+    /// Whether the request may begin before those ahead of it on its connection are answered: one that may be repeated
+    /// does no harm if its answer can't be delivered because the connection ended with an earlier one.
+    bool may_overlap(const http_request_head& head) const;
+
     /// Objects that upstreams learnt from this host since the last call, for the report to the others.
     std::vector<known_object> take_new_objects();
 
--- a/src/libraries/net/http_server.cpp
+++ b/src/libraries/net/http_server.cpp
@@ -80,11 +80,12 @@
             }
             if (state->connections.size() >= state->options.connection_limit)
                 continue;
-            runtime.spawn([socket, state] { serve_connection(std::move(*socket), state); });
+            runtime.spawn([&runtime, socket, state] { serve_connection(runtime, std::move(*socket), state); });
         }
     }
 
-    static void serve_connection(boost::asio::basic_stream_socket<tcp, boost::asio::io_context::executor_type> socket,
+    static void serve_connection(fiber_runtime& runtime,
+                                 boost::asio::basic_stream_socket<tcp, boost::asio::io_context::executor_type> socket,
                                  const std::shared_ptr<server_state>& state) {
         boost::system::error_code failure;
         socket.set_option(tcp::no_delay(true), failure);
@@ -95,7 +96,7 @@
         tcp_stream tcp_layer(std::move(socket));
         http_stream stream = state->options.tls ? http_stream(std::move(tcp_layer), state->options.tls->context())
                                                 : http_stream(std::move(tcp_layer));
-        http_server_connection connection(std::move(stream), remote.address().to_string(), state->options);
+        http_server_connection connection(runtime, std::move(stream), remote.address().to_string(), state->options);
         state->connections.insert(&connection);
         connection.serve(state->on_request, state->active, state->draining);
         state->connections.erase(&connection);
--- a/src/libraries/net/http_server.h
+++ b/src/libraries/net/http_server.h
@@ -25,9 +25,17 @@
     duration header_timeout = std::chrono::seconds(10);
     duration body_timeout = std::chrono::seconds(30); ///< Longest pause while a body is read or written.
     std::shared_ptr<tls_identity> tls;                ///< Absent for plain TCP.
+    /// Whether a request without a body may begin before those ahead of it on its connection are answered. Absent:
+    /// none.
+    std::function<bool(const http_request_head&)> may_overlap;
+    /// Requests of one connection that run at the same time. A caller that sends more ahead is not read meanwhile.
+    std::size_t overlap_limit = 8;
+    /// Bytes of complete answers that wait for those before them, per connection; beyond that no further request
+    /// begins.
+    std::size_t overlap_bytes = 256 * 1024;
 };
 
-/// Serves HTTP/1.1 with one fiber per connection.
+/// Serves HTTP/1.1 with one fiber per connection, and one per request that runs beside others of its connection.
 class http_server {
 public:
     using handler = std::function<void(http_exchange&)>;
--- /dev/null
+++ b/src/libraries/net/http_server_exchange.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include "net/fiber_event.h"
+#include "net/http_exchange.h"
+
+#include <boost/beast/http/buffer_body.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/serializer.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <optional>
+#include <string>
+
+// Private to the module's sources, since it pulls in Beast.
+
+namespace ragworthinge {
+
+class http_server_connection;
+
+/// One request of an accepted connection and its answer. Several may be under way at the same time; their answers leave
+/// in the order of the requests.
+class http_server_exchange final : public http_exchange {
+public:
+    using request_parser = boost::beast::http::request_parser<boost::beast::http::buffer_body>;
+
+    /// The connection outlives its exchanges.
+    explicit http_server_exchange(http_server_connection& connection) : m_connection(connection) {}
+
+    const http_request_head& request() const override { return m_request; }
+    const std::string& remote_address() const override;
+    result<std::size_t> read_body(std::span<char> buffer) override;
+    void begin_response(http_response_head head) override;
+    result<void> write_body(std::string_view bytes) override;
+    result<void> finish() override;
+    void abort() override;
+    bool response_started() const override { return m_response_started; }
+    bool is_open() const override;
+    void watch_disconnect(std::function<void()> on_disconnect) override;
+
+    request_parser& parser() noexcept { return m_parser; }
+
+    /// Takes the head from the parser.
+    void fill_request();
+
+    /// Tells the handler that the caller left.
+    void notify_disconnect();
+
+    /// The handler has ended and can't be told any more.
+    void stop_watching() noexcept { m_on_disconnect = nullptr; }
+
+    /// Lets the answer leave, or fail because the connection was closed.
+    void give_turn();
+
+    bool response_finished() const noexcept { return m_response_finished; }
+    bool keeps_connection() const noexcept { return m_response && m_response->keep_alive(); }
+
+    /// Reads the body to its end, so that the next request can be read. False if that is not worth it.
+    bool discard_rest_of_body();
+
+private:
+    using response_message = boost::beast::http::response<boost::beast::http::buffer_body>;
+    using response_serializer = boost::beast::http::response_serializer<boost::beast::http::buffer_body>;
+
+    bool wait_for_turn(std::size_t waiting_bytes);
+    void make_response();
+    result<void> send_continue();
+    result<void> send(const char* data, std::size_t size, bool more);
+
+    http_server_connection& m_connection;
+    request_parser m_parser;
+    http_request_head m_request;
+    http_response_head m_head;
+    std::optional<response_message> m_response;
+    std::optional<response_serializer> m_serializer;
+    std::optional<fiber_event> m_turn; ///< While an answer waits for those before it.
+    std::function<void()> m_on_disconnect;
+    bool m_continue_expected = false;
+    bool m_response_started = false;
+    bool m_response_finished = false;
+};
+
+} // namespace ragworthinge
