Bound what an upstream's answer can take in memory

Cause: bytes that are no answer may come without end. A chunk extension or a trailer grew the receive buffer until the request's deadline, interim answers were read without end, and each answer could take 16 MB of a host's 160 MB. Change: 128 kB wait to be parsed at most, 8 interim answers are skipped, all answers together hold 32 MB and one of them up to 16 MB more; an answer for which there is no room is not read on. Callers' bodies hold 32 MB instead of 64, since hosts now have 160 MB. Ruled out: reserving the stated length ahead; an upstream that states much and sends nothing would keep the others waiting. Tests: eleven ways not to end an answer, twelve large answers at a time; and requests sent ahead, through the gateway.

--- a/src/libraries/gateway/request_gateway.h
+++ b/src/libraries/gateway/request_gateway.h
@@ -17,8 +17,8 @@
 namespace ragworthinge {
 
 struct request_gateway_options {
-    /// Bodies that are held at the same time. A quarter of the smallest host's memory.
-    std::size_t body_memory = 64UL * 1024 * 1024;
+    /// Bytes of callers' bodies that are held at the same time. A fifth of the smallest host's memory, 160 MB.
+    std::size_t body_memory = 32UL * 1024 * 1024;
     /// Retry-After while no configuration is known.
     std::chrono::milliseconds start_delay{500};
     /// Connection attempts beyond the attempts of the route, since nothing is sent in them.
--- a/src/libraries/gateway/upstream_client.cpp
+++ b/src/libraries/gateway/upstream_client.cpp
@@ -13,6 +13,8 @@
 
 namespace {
 
+constexpr std::size_t read_chunk_bytes = 16UL * 1024;
+
 bool is_success(unsigned status) {
     return status >= 200 && status < 300;
 }
@@ -59,7 +61,8 @@
 
 upstream_client::upstream_client(fiber_runtime& runtime, const caller_dialect& dialect, event_log& log,
                                  upstream_client_options options)
-    : m_runtime(runtime), m_dialect(dialect), m_log(log), m_options(options) {}
+    : m_runtime(runtime), m_dialect(dialect), m_log(log), m_options(options),
+      m_answer_memory(options.answer_memory, options.answer_limit) {}
 
 upstream_client::connection_set& upstream_client::set_of(const upstream_facts& facts) {
     connection_set& set = m_sets[facts.id];
@@ -188,7 +191,7 @@
 }
 
 upstream_attempt upstream_client::exchange(http_connection& connection, const outgoing_request& request,
-                                           time_point deadline) const {
+                                           time_point deadline) {
     const auto fail = [&](const error& cause, bool had_answer) {
         const bool timed_out = cause.code == error_code::timeout && monotonic_clock::now() >= deadline;
         upstream_attempt attempt;
@@ -210,14 +213,17 @@
         auto head = connection.read_head();
         if (!head)
             return fail(head.error(), skipped > 0);
-        auto body = connection.read_whole_body(m_options.answer_limit);
+        byte_reservation memory(m_answer_memory);
+        auto body = read_answer_body(connection, memory, deadline);
         if (!body)
             return fail(body.error(), true);
         const auto id = head.value().fields.find(m_dialect.request_id);
-        if (id && *id == request.id)
-            return judge(std::move(head).value(), std::move(body).value());
-        if (!id && head.value().fields.find(m_dialect.not_run))
-            return judge(std::move(head).value(), std::move(body).value());
+        const bool is_rejection = !id && head.value().fields.find(m_dialect.not_run);
+        if ((id && *id == request.id) || is_rejection) {
+            upstream_attempt attempt = judge(std::move(head).value(), std::move(body).value());
+            attempt.body_memory = std::move(memory);
+            return attempt;
+        }
         // The end of an earlier answer or a second copy of it; the answer to this request may still follow.
         m_log.write(log_level::warn, "foreign_answer", field("request", request.id),
                     field("named", id ? std::string(*id) : std::string()), field("status", head.value().status));
@@ -225,6 +231,27 @@
     return {.type = upstream_attempt::kind::broken, .problem = "only answers to other requests came"};
 }
 
+result<std::string> upstream_client::read_answer_body(http_connection& connection, byte_reservation& memory,
+                                                      time_point deadline) {
+    std::string body;
+    std::array<char, read_chunk_bytes> chunk{};
+    for (;;) {
+        BOOST_OUTCOME_TRY(const std::size_t size, connection.read_body(chunk));
+        if (size == 0)
+            return body;
+        if (body.size() + size > m_options.answer_limit)
+            return failure(error_code::protocol_violation,
+                           "the answer is larger than " + std::to_string(m_options.answer_limit) + " bytes");
+        // The upstream waits meanwhile, since its bytes are not read.
+        while (!memory.try_add(size)) {
+            if (monotonic_clock::now() >= deadline)
+                return failure(error_code::timeout, "too many bytes of answers are held");
+            m_runtime.sleep_for(m_options.memory_pause);
+        }
+        body.append(chunk.data(), size);
+    }
+}
+
 upstream_attempt upstream_client::judge(http_response_head head, std::string body) const {
     upstream_attempt attempt;
     attempt.wrong_upstream = head.status == http_status::misdirected_request;
--- a/src/libraries/gateway/upstream_client.h
+++ b/src/libraries/gateway/upstream_client.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/byte_budget.h"
 #include "base/http_message.h"
 #include "base/time.h"
 #include "gateway/caller_dialect.h"
@@ -32,7 +33,12 @@
     duration recent_use = std::chrono::seconds(3);
     std::size_t idle_limit = 8;                    ///< Idle connections kept per upstream.
     std::size_t answer_limit = 16UL * 1024 * 1024; ///< Bytes of one answer.
-    unsigned foreign_answer_limit = 2;             ///< Answers to other requests that are skipped.
+    /// Bytes of all answers that are held at the same time; beyond it only one is read on. Source: with the limit of
+    /// one answer a third of the smallest hosts' 160 MB.
+    std::size_t answer_memory = 32UL * 1024 * 1024;
+    /// Pause of an answer for which there is no room.
+    duration memory_pause = std::chrono::milliseconds(5);
+    unsigned foreign_answer_limit = 2; ///< Answers to other requests that are skipped.
 };
 
 /// How an attempt at an upstream ended.
@@ -47,6 +53,7 @@
     kind type = kind::unreachable;
     http_response_head head; ///< For answered and not_run.
     std::string body;
+    byte_reservation body_memory;  ///< Of the body.
     std::string problem;           ///< For people.
     bool wrong_upstream = false;   ///< Another upstream has the address.
     bool connection_ended = false; ///< The connection ended without a byte of an answer.
@@ -102,6 +109,9 @@
     /// Closes connections that stayed idle for too long or whose upstream is gone.
     void close_idle(const std::map<upstream_id, std::shared_ptr<observed_upstream>>& known);
 
+    /// Bytes of answers that are held now.
+    std::size_t held_answer_bytes() const noexcept { return m_answer_memory.held(); }
+
     std::uint64_t connections_opened() const noexcept { return m_connections_opened; }
 
 private:
@@ -124,13 +134,15 @@
                                                   time_point deadline);
     void keep(const upstream_facts& facts, std::unique_ptr<http_connection> connection, const http_response_head& head);
     void start_recovery(const std::shared_ptr<observed_upstream>& upstream, duration pause);
-    upstream_attempt exchange(http_connection& connection, const outgoing_request& request, time_point deadline) const;
+    upstream_attempt exchange(http_connection& connection, const outgoing_request& request, time_point deadline);
+    result<std::string> read_answer_body(http_connection& connection, byte_reservation& memory, time_point deadline);
     upstream_attempt judge(http_response_head head, std::string body) const;
 
     fiber_runtime& m_runtime;
     const caller_dialect& m_dialect;
     event_log& m_log;
     upstream_client_options m_options;
+    byte_budget m_answer_memory;
     distance_handler m_on_distance;
     std::map<upstream_id, connection_set> m_sets;
     std::uint64_t m_connections_opened = 0;
--- a/src/libraries/net/http_connection.cpp
+++ b/src/libraries/net/http_connection.cpp
@@ -33,6 +33,10 @@
 constexpr unsigned http_version_1_1 = 11;
 constexpr unsigned first_final_status = 200;
 constexpr std::uint32_t response_header_limit = 64 * 1024;
+/// Bytes that wait to be parsed: a head, or a chunk's extension or trailer, which have no limit of their own.
+constexpr std::size_t receive_limit = 2 * response_header_limit;
+/// Interim answers (1xx) before a final one. A server needs one or two; more are bytes without end.
+constexpr int interim_limit = 8;
 
 error to_error(const char* operation, const boost::system::error_code& cause) {
     const bool timed_out = cause == boost::beast::error::timeout;
@@ -88,7 +92,10 @@
     }
 
     result<http_response_head> read_head() override {
+        int interim = 0;
         do {
+            if (interim++ > interim_limit)
+                return failure(error_code::protocol_violation, "the server sends interim answers without end");
             m_parser.emplace();
             m_parser->body_limit(boost::none);
             m_parser->header_limit(response_header_limit);
@@ -169,7 +176,7 @@
     }
 
     http_stream m_stream;
-    boost::beast::flat_buffer m_buffer;
+    boost::beast::flat_buffer m_buffer{receive_limit};
     std::optional<http::request<http::buffer_body>> m_request;
     std::optional<http::request_serializer<http::buffer_body>> m_serializer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
--- /dev/null
+++ b/tests/gateway/endless_answer_test.cpp
@@ -0,0 +1,127 @@
+#include "gateway/gateway_fixture.h"
+
+using namespace ragworthinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// An upstream that sends a beginning and then the same bytes again and again until its connection is closed.
+class endless_upstream {
+public:
+    endless_upstream(gateway_fixture& host, const std::string& id, std::string beginning, std::string repeated)
+        : m_server(host.runtime, [this, beginning, repeated](auto& socket, auto& request) {
+              const std::string request_id(request["X-Id"]);
+              std::string head = beginning;
+              if (const auto at = head.find("ID"); at != std::string::npos)
+                  head.replace(at, 2, request_id);
+              ++connections;
+              bool is_open = standins::write_all(socket, head);
+              while (is_open) {
+                  is_open = standins::write_all(socket, repeated);
+                  sent += repeated.size();
+              }
+              ++closed;
+              return false;
+          }) {
+        REQUIRE(m_server.listen({boost::asio::ip::make_address("127.0.0.1"), 0}));
+        upstream_facts facts = make_upstream(id);
+        facts.address = "127.0.0.1:" + std::to_string(m_server.port());
+        host.fleet.apply(upstream_announced{facts}, boot_time_now());
+    }
+
+    void stop() { m_server.stop(); }
+
+    std::size_t sent = 0;
+    int connections = 0;
+    int closed = 0;
+
+private:
+    standins::standin_server m_server;
+};
+
+struct endless_case {
+    const char* name;
+    std::string beginning;
+    std::string repeated;
+    std::size_t most_sent; ///< Bytes after which the gateway must have closed, socket buffers included.
+};
+
+std::vector<endless_case> endless_cases() {
+    const std::string filler(8000, 'a');
+    const std::string chunked_head =
+        "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Receipt: r\r\nTransfer-Encoding: chunked\r\n\r\n";
+    constexpr std::size_t small = 8UL * 1024 * 1024;  // limits of 128 kB and the buffers of two loopback sockets
+    constexpr std::size_t large = 32UL * 1024 * 1024; // the limit of one answer and the same buffers
+    return {{"no answer at all", "", filler, small},
+            {"a status line", "HTTP/1.1 200 ", filler, small},
+            {"one field", "HTTP/1.1 200 OK\r\nX-Long: ", filler, small},
+            {"fields", "HTTP/1.1 200 OK\r\n", "X-Field: " + filler + "\r\n", small},
+            {"interim answers", "", "HTTP/1.1 102 Processing\r\nX-Filler: " + filler + "\r\n\r\n", small},
+            {"a chunk size", chunked_head, std::string(8000, '0'), small},
+            {"a chunk extension", chunked_head + "5;x=", filler, small},
+            {"trailers", chunked_head + "0\r\n", "X-Trailer: " + filler + "\r\n", small},
+            {"chunks", chunked_head, "1f40\r\n" + filler + "\r\n", large},
+            {"a body without a length", "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Receipt: r\r\n\r\n", filler, large},
+            {"answers to others", "",
+             "HTTP/1.1 200 OK\r\nX-Id: other\r\nX-Receipt: r\r\nContent-Length: 8000\r\n\r\n" + filler, small}};
+}
+
+} // namespace
+
+// Guards against an upstream in trouble that sends bytes without end and takes the host's memory, in any part of what
+// should be an answer; the caller gets a failure within its time, and the connection is closed.
+TEST_CASE("bytes without end are no answer and end with their connection") {
+    for (const endless_case& one : endless_cases()) {
+        gateway_fixture host;
+        host.configuration.routes.front().is_idempotent = false;
+        host.configuration.routes.front().timeout = 3s;
+        endless_upstream upstream(host, "one", one.beginning, one.repeated);
+        host.run([&] {
+            INFO(one.name);
+            const time_point started = monotonic_clock::now();
+            const received_answer answer = host.send(host.make_request("POST"));
+            CHECK((answer.status == 502 || answer.status == 504));
+            CHECK(monotonic_clock::now() - started < 3500ms);
+            host.runtime.sleep_for(50ms);
+            CHECK(upstream.connections == 1);
+            CHECK(upstream.closed == 1);
+            CHECK(upstream.sent < one.most_sent);
+            CHECK(host.client.held_answer_bytes() == 0);
+            upstream.stop();
+        });
+    }
+}
+
+// Guards against many large answers that together exceed the memory of a small host.
+TEST_CASE("large answers that arrive together are held within a budget, and all arrive") {
+    gateway_fixture host;
+    host.configuration.routes.front().timeout = 5s;
+    const std::string body(6UL * 1024 * 1024, 'x');
+    for (const std::string id : {"one", "two", "three"})
+        host.add_upstream(id, [&](const auto& request) {
+            return scripted_upstream::reply{make_answer(request, 200, body), true};
+        });
+    std::size_t most_held = 0;
+    host.run([&] {
+        int complete = 0;
+        constexpr int callers = 12;
+        int ended = 0;
+        for (int caller = 0; caller < callers; ++caller) {
+            host.runtime.spawn([&, caller] {
+                http_request_head head = host.make_request();
+                head.fields.set("X-Object", std::to_string(caller));
+                const received_answer answer = host.send(head);
+                complete += answer.status == 200 && answer.body.size() == body.size() ? 1 : 0;
+                ++ended;
+            });
+        }
+        while (ended < callers) {
+            most_held = std::max(most_held, host.client.held_answer_bytes());
+            host.runtime.sleep_for(1ms);
+        }
+        CHECK(complete == callers);
+        const upstream_client_options limits;
+        CHECK(most_held <= limits.answer_memory + limits.answer_limit);
+        CHECK(host.client.held_answer_bytes() == 0);
+    });
+}
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -117,9 +117,14 @@
         runtime.spawn([&] {
             try {
                 fleet.apply(configuration_submitted{configuration}, boot_time_now());
-                server = http_server::listen(runtime, {.address = "127.0.0.1"}, [this](http_exchange& one) {
-                             gateway.handle(one);
-                         }).value();
+                server = http_server::listen(runtime,
+                                             {.address = "127.0.0.1",
+                                              .may_overlap =
+                                                  [this](const http_request_head& head) {
+                                                      return gateway.may_overlap(head);
+                                                  }},
+                                             [this](http_exchange& one) { gateway.handle(one); })
+                             .value();
                 body();
             } catch (...) {
                 thrown = std::current_exception();
--- a/tests/gateway/request_gateway_test.cpp
+++ b/tests/gateway/request_gateway_test.cpp
@@ -1,5 +1,7 @@
 #include "gateway/gateway_fixture.h"
 
+#include "net/await_io.h"
+
 using namespace ragworthinge;
 using namespace std::chrono_literals;
 
@@ -239,6 +241,42 @@
     CHECK_FALSE(delivered);
 }
 
+// Guards against requests that wait behind the answers before them: each took the sum of their times.
+TEST_CASE("requests that are sent ahead run side by side at their upstreams") {
+    gateway_fixture host;
+    for (const std::string id : {"one", "two"})
+        host.add_upstream(id, [](const auto& request) {
+            return scripted_upstream::reply{make_answer(request, 200, std::string(request["X-Id"])), true, 200ms};
+        });
+    host.run([&] {
+        standins::standin_server::socket caller(host.runtime.io());
+        const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"), host.server->port());
+        await_io([&](auto handler) { caller.async_connect(endpoint, std::move(handler)); });
+        std::string text;
+        for (const std::string id : {"id-1", "id-2", "id-3"})
+            text +=
+                "GET /lots/7 HTTP/1.1\r\nHost: lots.example\r\nX-Key: secret-key\r\nX-Left-Ms: 4000\r\nX-Id: " + id +
+                "\r\nX-Object: " + id + "\r\n\r\n";
+        // A body, even an empty one that is announced, does not keep a request that may be repeated from its place.
+        text += "POST /lots/7 HTTP/1.1\r\nHost: lots.example\r\nX-Key: secret-key\r\nX-Left-Ms: 4000\r\n"
+                "X-Id: id-4\r\nContent-Length: 0\r\n\r\n";
+        const time_point started = monotonic_clock::now();
+        REQUIRE(standins::write_all(caller, text));
+        std::string received;
+        while (received.find("id-4\r\n") == std::string::npos) {
+            std::array<char, 4096> chunk{};
+            const io_outcome read =
+                await_io([&](auto handler) { caller.async_read_some(boost::asio::buffer(chunk), std::move(handler)); });
+            REQUIRE_FALSE(read.failed());
+            received.append(chunk.data(), read.bytes);
+        }
+        CHECK(monotonic_clock::now() - started < 550ms);
+        CHECK(received.find("X-Id: id-1") < received.find("X-Id: id-2"));
+        CHECK(received.find("X-Id: id-2") < received.find("X-Id: id-3"));
+        CHECK(received.find("X-Id: id-3") < received.find("X-Id: id-4"));
+    });
+}
+
 // Guards against a charge or booking that is sent although its caller left while the connection was opened.
 TEST_CASE("nothing is sent for a caller that left before") {
     gateway_fixture host;
