--- a/src/libraries/gateway/fleet_exchange.cpp
+++ b/src/libraries/gateway/fleet_exchange.cpp
@@ -1,5 +1,6 @@
 #include "gateway/fleet_exchange.h"
 
+#include "base/boot_clock.h"
 #include "gateway/fleet_report_codec.h"
 #include "net/fiber_runtime.h"
 
@@ -13,8 +14,8 @@
 constexpr char report_message = 'R';
 constexpr char snapshot_message = 'S';
 constexpr char token_message = 'T';
-constexpr char digest_message = 'D';    ///< From the reporter of another region.
-constexpr char forwarded_message = 'F'; ///< The same, passed on within the region.
+constexpr char digest_message = 'D';   ///< From the reporter of another region.
+constexpr char question_message = 'B'; ///< A report that asks for a bulletin.
 
 /// Objects that a digest may carry; the rest is learnt by the hosts themselves.
 constexpr std::size_t object_limit = 2000;
@@ -46,8 +47,10 @@
         return m_grant_tokens ? write_pool_answer(m_grant_tokens(account_id(message.substr(1)))) : std::string();
     if (message.front() == report_message)
         take_report(message.substr(1));
-    if (message.front() == digest_message || message.front() == forwarded_message)
-        take_digest(message.substr(1), message.front() == forwarded_message);
+    if (message.front() == question_message)
+        return answer_question(message.substr(1));
+    if (message.front() == digest_message)
+        take_digest(message.substr(1));
     return {};
 }
 
@@ -65,47 +68,99 @@
         m_on_report(std::move(report).value());
 }
 
-void fleet_exchange::take_digest(std::string_view text, bool is_forwarded) {
+std::string fleet_exchange::answer_question(std::string_view text) {
+    auto question = read_bulletin_question(text);
+    if (!question) {
+        m_log.write(log_level::warn, "question_refused", field("cause", question.error().message));
+        return {};
+    }
+    for (const known_object& known : question.value().report.new_objects) {
+        if (m_region_objects.size() < object_limit)
+            m_region_objects.push_back(known);
+    }
+    if (m_on_report)
+        m_on_report(question.value().report);
+    return m_make_bulletin ? write_region_bulletin(m_make_bulletin(question.value())) : std::string();
+}
+
+void fleet_exchange::take_digest(std::string_view text) {
     auto digest = read_region_digest(text);
     if (!digest) {
         m_log.write(log_level::warn, "digest_refused", field("cause", digest.error().message));
         return;
     }
-    if (!is_forwarded) {
-        const auto message = make_message(forwarded_message, text);
-        for (const entry_host& peer : m_membership.peers()) {
-            if (peer.region == m_membership.options().region)
-                send(peer, "digest of " + digest.value().region, message);
-        }
-    }
     if (m_on_digest)
         m_on_digest(std::move(digest).value());
 }
 
+std::set<host_id> fleet_exchange::unreachable_peers(time_point now) const {
+    std::set<host_id> peers;
+    for (const auto& [name, until] : m_unreachable) {
+        if (now < until)
+            peers.insert(name);
+    }
+    return peers;
+}
+
+bool fleet_exchange::is_reporter(time_point now) const {
+    return m_membership.uses_reporters() &&
+           m_membership.reporter_of(m_membership.options().region, unreachable_peers(now), now) ==
+               m_membership.options().self;
+}
+
 void fleet_exchange::send_reports(time_point now) {
     if (m_bus == nullptr || !m_make_report)
         return;
     const fleet_report report = m_make_report();
-    const auto message = make_message(report_message, write_fleet_report(report));
-    const bool is_relayed = m_membership.uses_reporters();
-    const region_id& region = m_membership.options().region;
-    for (const entry_host& peer : m_membership.peers()) {
-        if (!is_relayed || peer.region == region)
+    std::vector<known_object> objects = std::exchange(m_region_objects, {});
+    if (!m_membership.uses_reporters()) {
+        const auto message = make_message(report_message, write_fleet_report(report));
+        for (const entry_host& peer : m_membership.peers())
             send(peer, "report", message);
+        return;
     }
-    std::vector<known_object> objects = std::exchange(m_region_objects, {});
-    if (!is_relayed || m_membership.reporter_of(region, {}, now) != m_membership.options().self)
+    const auto reporter = m_membership.reporter_of(m_membership.options().region, unreachable_peers(now), now);
+    if (reporter != m_membership.options().self) {
+        if (const auto peer = reporter ? find_peer(*reporter) : std::nullopt)
+            ask_reporter(*peer, report, now);
         return;
+    }
     region_digest digest = m_membership.make_digest(report, now);
     digest.new_objects = std::move(objects);
     digest.new_objects.insert(digest.new_objects.end(), report.new_objects.begin(), report.new_objects.end());
     send_digest(digest, now);
 }
 
+void fleet_exchange::ask_reporter(const entry_host& reporter, const fleet_report& report, time_point now) {
+    const auto endpoint = parse_endpoint(reporter.peer_address);
+    const std::string key = "question to " + reporter.name;
+    if (!endpoint || !m_under_way.insert(key).second)
+        return;
+    const bulletin_question question{.report = report, .object_source = m_object_source, .next_object = m_next_object};
+    auto message = make_message(question_message, write_bulletin_question(question));
+    m_runtime.spawn([this, message = std::move(message), key, now, name = reporter.name, address = endpoint.value()] {
+        const auto reply = m_bus->request(address, *message, m_options.report_timeout);
+        m_under_way.erase(key);
+        record_reachable(name, reply.has_value(), reply ? std::string() : reply.error().message);
+        if (!reply)
+            return;
+        auto bulletin = read_region_bulletin(reply.value());
+        if (!bulletin) {
+            m_log.write(log_level::warn, "bulletin_refused", field("peer", name),
+                        field("cause", bulletin.error().message));
+            return;
+        }
+        m_object_source = bulletin.value().reporter_run;
+        m_next_object = bulletin.value().next_object;
+        if (m_on_bulletin)
+            m_on_bulletin(std::move(bulletin).value(), now);
+    });
+}
+
 void fleet_exchange::send_digest(const region_digest& digest, time_point now) {
     const auto message = make_message(digest_message, write_region_digest(digest));
     for (const region_id& region : m_membership.other_regions()) {
-        const auto reporter = m_membership.reporter_of(region, m_unreachable, now);
+        const auto reporter = m_membership.reporter_of(region, unreachable_peers(now), now);
         const auto peer = reporter ? find_peer(*reporter) : std::nullopt;
         if (peer)
             send(*peer, "digest", message);
@@ -121,15 +176,21 @@
     m_runtime.spawn([this, message = std::move(message), key, name = peer.name, address = endpoint.value()] {
         const auto reply = m_bus->request(address, *message, m_options.report_timeout);
         m_under_way.erase(key);
-        if (reply) {
-            if (m_unreachable.erase(name) > 0)
-                m_log.write(log_level::info, "peer_regained", field("peer", name));
-        } else if (m_unreachable.insert(name).second) {
-            m_log.write(log_level::warn, "peer_lost", field("peer", name), field("cause", reply.error().message));
-        }
+        record_reachable(name, reply.has_value(), reply ? std::string() : reply.error().message);
     });
 }
 
+void fleet_exchange::record_reachable(const host_id& peer, bool is_reachable, std::string_view cause) {
+    if (is_reachable) {
+        if (m_unreachable.erase(peer) > 0)
+            m_log.write(log_level::info, "peer_regained", field("peer", peer));
+        return;
+    }
+    const auto [entry, created] = m_unreachable.insert_or_assign(peer, boot_time_now() + m_options.unreachable_time);
+    if (created)
+        m_log.write(log_level::warn, "peer_lost", field("peer", peer), field("cause", cause));
+}
+
 std::optional<std::string> fleet_exchange::ask_for_snapshot(std::int64_t known_revision, time_point now) {
     if (m_bus == nullptr)
         return std::nullopt;
--- a/src/libraries/gateway/fleet_exchange.h
+++ b/src/libraries/gateway/fleet_exchange.h
@@ -7,6 +7,7 @@
 #include "steering/fleet_report.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <set>
@@ -20,19 +21,24 @@
     /// Time for a peer to acknowledge a report; shorter than the report period, so that reports do not pile up.
     duration report_timeout = std::chrono::milliseconds(450);
     duration snapshot_timeout = std::chrono::milliseconds(800);
+    /// A peer that did not answer is passed over as reporter for this long. Source: the longest cuts that the
+    /// deployments name are 12 s; asking a dead one costs a bulletin each time.
+    duration unreachable_time = std::chrono::seconds(5);
     /// Time for tokens of a pool: five round trips between the farthest regions. The caller waits meanwhile.
     duration token_timeout = std::chrono::milliseconds(200);
 };
 
-/// Sends this host's reports and takes those of others. In a small fleet they go to all others. In a larger one they go
-/// to the hosts of the own region; its reporter adds them up for the reporters of the other regions, and those pass the
-/// digest on to their hosts.
-/// FIXME: Within a region the mesh is still full: 122 hosts of a region send each other 153 messages a second and host.
+/// Sends this host's reports and takes those of others. In a small fleet they go to all others. In a larger one each
+/// host asks its region's reporter for a bulletin, and its report is the question; the reporters exchange digests. So
+/// no host sends anything to all hosts of its region, and only reporters follow the store all the time.
 class fleet_exchange {
 public:
     using report_source = std::function<fleet_report()>;
     using report_handler = std::function<void(fleet_report)>;
     using digest_handler = std::function<void(region_digest)>;
+    using bulletin_source = std::function<region_bulletin(const bulletin_question&)>;
+    /// Takes the answer to a question and the time at which that was sent.
+    using bulletin_handler = std::function<void(region_bulletin, time_point)>;
     using snapshot_source = std::function<std::string()>;
     using pool_source = std::function<pool_answer(const account_id&)>;
 
@@ -42,6 +48,8 @@
     void on_report_wanted(report_source source) { m_make_report = std::move(source); }
     void on_report(report_handler handler) { m_on_report = std::move(handler); }
     void on_digest(digest_handler handler) { m_on_digest = std::move(handler); }
+    void on_bulletin_wanted(bulletin_source source) { m_make_bulletin = std::move(source); }
+    void on_bulletin(bulletin_handler handler) { m_on_bulletin = std::move(handler); }
     void on_snapshot_wanted(snapshot_source source) { m_make_snapshot = std::move(source); }
     void on_tokens_wanted(pool_source source) { m_grant_tokens = std::move(source); }
 
@@ -49,9 +57,13 @@
     result<void> open(const network_endpoint& listen, const std::string& fleet_secret);
     bool is_open() const noexcept { return m_bus != nullptr; }
 
-    /// Sends a report, and a digest if this host is its region's reporter, without waiting for acknowledgements.
+    /// Sends a report or the question for a bulletin, and a digest if this host is its region's reporter, without
+    /// waiting for answers.
     void send_reports(time_point now);
 
+    /// Whether this host is the reporter of its region in a fleet that has reporters.
+    bool is_reporter(time_point now) const;
+
     /// A snapshot of the peer whose reports name the highest store revision above the given one.
     std::optional<std::string> ask_for_snapshot(std::int64_t known_revision, time_point now);
 
@@ -63,7 +75,11 @@
 private:
     std::string answer(std::string_view message);
     void take_report(std::string_view text);
-    void take_digest(std::string_view text, bool is_forwarded);
+    std::string answer_question(std::string_view text);
+    void ask_reporter(const entry_host& reporter, const fleet_report& report, time_point now);
+    void take_digest(std::string_view text);
+    void record_reachable(const host_id& peer, bool is_reachable, std::string_view cause);
+    std::set<host_id> unreachable_peers(time_point now) const;
     void send_digest(const region_digest& digest, time_point now);
 
     /// Sends to a peer, unless an earlier message of the same stream waits for its acknowledgement.
@@ -78,13 +94,18 @@
     report_source m_make_report;
     report_handler m_on_report;
     digest_handler m_on_digest;
+    bulletin_source m_make_bulletin;
+    bulletin_handler m_on_bulletin;
     snapshot_source m_make_snapshot;
     pool_source m_grant_tokens;
     std::unique_ptr<peer_bus> m_bus;
-    std::set<host_id> m_unreachable;   ///< Peers whose last report was not acknowledged.
+    /// Peers whose last message was not acknowledged, with the time until which they are passed over as reporters.
+    std::map<host_id, time_point> m_unreachable;
     std::set<std::string> m_under_way; ///< Streams to peers with a message that is not acknowledged yet.
     /// What hosts of this region taught upstreams since the last digest.
     std::vector<known_object> m_region_objects;
+    incarnation m_object_source = 0; ///< Reporter's run whose objects are known up to the next number.
+    std::uint64_t m_next_object = 0;
 };
 
 } // namespace ragworthinge
--- a/src/libraries/gateway/fleet_follower.cpp
+++ b/src/libraries/gateway/fleet_follower.cpp
@@ -26,6 +26,10 @@
     return "";
 }
 
+std::size_t bytes_of(const store_change& change) {
+    return change.key.size() + (change.value ? change.value->size() : 0);
+}
+
 /// What a change says, for the log.
 struct change_description {
     std::string operator()(const upstream_announced& change) const {
@@ -58,13 +62,32 @@
     m_runtime.spawn([this] { follow(); });
 }
 
+duration fleet_follower::time_to_question(time_point now) const {
+    if (!m_is_synchronized || !m_bulletin_at || (m_is_reporter && m_is_reporter()))
+        return duration::zero();
+    return *m_bulletin_at + m_options.bulletin_limit - now;
+}
+
+bool fleet_follower::follows_store(time_point now) const {
+    const bool is_silent = m_question_at && now - *m_question_at > m_options.silent_question_limit;
+    return m_is_synchronized && m_has_contact && !is_silent;
+}
+
 void fleet_follower::follow() {
     for (;;) {
+        if (const duration rest = time_to_question(boot_time_now()); rest > duration::zero()) {
+            m_runtime.sleep_for(std::min(rest, m_options.check_period));
+            continue;
+        }
+        const bool is_reporter = m_is_reporter && m_is_reporter();
+        m_store.set_watch_time(is_reporter ? m_options.reporter_watch_time : m_options.watch_time);
         const time_point asked_at = boot_time_now();
+        m_question_at = asked_at;
         const auto outcome = m_is_synchronized ? read_changes() : read_everything();
+        m_question_at.reset();
         if (outcome) {
             record_contact(asked_at);
-            m_runtime.sleep_for(m_options.poll_period);
+            m_runtime.sleep_for(is_reporter ? m_options.reporter_period : m_options.poll_period);
             continue;
         }
         if (outcome.error().code == error_code::not_found) {
@@ -129,8 +152,13 @@
                       m_store.watch_prefix("", m_revision, [&](const std::vector<store_event>& events) {
                           // Before the events: those after an outage may be entries that lapsed.
                           record_contact(asked_at);
-                          for (const store_event& event : events)
+                          for (const store_event& event : events) {
+                              // A bulletin may have brought later changes meanwhile; the removals among them are final.
+                              if (event.mod_revision <= m_revision)
+                                  continue;
+                              keep_change(event.key, event.value, event.mod_revision);
                               apply_entry(event.key, event.value, event.mod_revision, "store");
+                          }
                           return false;
                       }));
     m_revision = std::max(m_revision, revision);
@@ -140,6 +168,64 @@
     return boost::outcome_v2::success();
 }
 
+void fleet_follower::keep_change(const std::string& key, const std::optional<std::string>& value,
+                                 std::int64_t revision) {
+    m_changes.push_back({key, value, revision});
+    m_change_bytes += bytes_of(m_changes.back());
+    while (m_change_bytes > m_options.kept_change_bytes) {
+        // Changes of one revision are kept or dropped together, so a host that knows it needs none of them.
+        m_changes_from = m_changes.front().revision;
+        m_change_bytes -= bytes_of(m_changes.front());
+        m_changes.pop_front();
+    }
+}
+
+std::optional<std::vector<store_change>> fleet_follower::changes_since(std::int64_t revision) const {
+    if (revision < m_changes_from)
+        return std::nullopt;
+    std::vector<store_change> changes;
+    std::size_t bytes = 0;
+    for (const store_change& change : m_changes) {
+        if (change.revision <= revision)
+            continue;
+        bytes += bytes_of(change);
+        if (bytes > m_options.bulletin_bytes)
+            return std::nullopt;
+        changes.push_back(change);
+    }
+    return changes;
+}
+
+void fleet_follower::take_bulletin(const region_bulletin& bulletin, time_point asked_at) {
+    if (!m_is_synchronized)
+        return;
+    if (!bulletin.changes && bulletin.store_revision > m_revision) {
+        m_log.write(log_level::debug, "bulletin_without_changes", field("reporter", bulletin.reporter),
+                    field("revision", m_revision), field("reporter_revision", bulletin.store_revision));
+        m_bulletin_at.reset();
+        return;
+    }
+    if (bulletin.follows_store) {
+        record_contact(asked_at);
+        m_bulletin_at = std::max(m_bulletin_at.value_or(asked_at), asked_at);
+        m_fleet.confirm(m_revision, boot_time_now());
+    } else {
+        m_bulletin_at.reset();
+    }
+    if (bulletin.store_revision <= m_revision)
+        return;
+    for (const store_change& change : *bulletin.changes) {
+        if (change.revision <= m_revision)
+            continue;
+        keep_change(change.key, change.value, change.revision);
+        apply_entry(change.key, change.value, change.revision, bulletin.reporter);
+    }
+    m_revision = bulletin.store_revision;
+    m_fleet.confirm(m_revision, boot_time_now());
+    if (m_on_change)
+        m_on_change();
+}
+
 void fleet_follower::ask_peer() {
     if (!m_ask_peer)
         return;
@@ -191,6 +277,9 @@
     for (const auto& [key, entry] : entries)
         apply_entry(key, entry.value, entry.revision, source);
     m_revision = std::max(m_revision, revision);
+    m_changes.clear();
+    m_change_bytes = 0;
+    m_changes_from = m_revision;
     m_fleet.confirm(m_revision, boot_time_now());
     const bool was_synchronized = std::exchange(m_is_synchronized, true);
     m_log.write(log_level::info, "fleet_read", field("source", source), field("revision", m_revision),
--- a/src/libraries/gateway/fleet_report_codec.cpp
+++ b/src/libraries/gateway/fleet_report_codec.cpp
@@ -2,15 +2,20 @@
 
 #include "requests/record_codec.h"
 
+#include <algorithm>
 #include <cmath>
+#include <cstdint>
 
 namespace ragworthinge {
 
 namespace {
 
 constexpr std::string_view record_version = "1";
+constexpr std::string_view digest_version = "2";
 /// Demand is sent in hundredths of a request per second.
 constexpr double demand_scale = 100;
+/// Parts of a whole are sent in ten-thousandths.
+constexpr double part_scale = 10'000;
 constexpr std::int64_t entry_limit = 100'000;
 /// Reporters list only hosts that they hear, so an age beyond this is damaged.
 constexpr std::chrono::milliseconds longest_age{60'000};
@@ -28,32 +33,60 @@
 }
 
 /// The lists that reports and digests have in common.
+void write_demands(record_writer& writer, const std::vector<account_demand>& demands) {
+    writer.add_number(to_signed(demands.size()));
+    for (const account_demand& demand : demands)
+        writer.add(demand.account).add_number(std::llround(demand.requests_per_second * demand_scale));
+}
+
+result<std::vector<account_demand>> read_demands(record_reader& reader) {
+    std::vector<account_demand> demands;
+    BOOST_OUTCOME_TRY(const auto count, read_count(reader));
+    for (std::int64_t index = 0; index < count; ++index) {
+        account_demand demand;
+        BOOST_OUTCOME_TRY(demand.account, reader.read());
+        BOOST_OUTCOME_TRY(const auto scaled, reader.read_number());
+        demand.requests_per_second = static_cast<double>(scaled) / demand_scale;
+        demands.push_back(std::move(demand));
+    }
+    return demands;
+}
+
+void write_crashes(record_writer& writer, const std::vector<crash_notice>& crashes) {
+    writer.add_number(to_signed(crashes.size()));
+    for (const crash_notice& notice : crashes)
+        writer.add_number(to_signed(notice.fingerprint)).add_number(notice.deaths);
+}
+
+result<std::vector<crash_notice>> read_crashes(record_reader& reader) {
+    std::vector<crash_notice> crashes;
+    BOOST_OUTCOME_TRY(const auto count, read_count(reader));
+    for (std::int64_t index = 0; index < count; ++index) {
+        crash_notice notice;
+        BOOST_OUTCOME_TRY(const auto fingerprint, reader.read_number());
+        notice.fingerprint = static_cast<std::uint64_t>(fingerprint);
+        BOOST_OUTCOME_TRY(const auto deaths, reader.read_number());
+        notice.deaths = static_cast<std::uint32_t>(deaths);
+        crashes.push_back(notice);
+    }
+    return crashes;
+}
+
 template <typename Message>
 void write_lists(record_writer& writer, const Message& message) {
-    writer.add_number(to_signed(message.demands.size()));
-    for (const account_demand& demand : message.demands)
-        writer.add(demand.account).add_number(std::llround(demand.requests_per_second * demand_scale));
+    write_demands(writer, message.demands);
     writer.add_number(to_signed(message.loads.size()));
     for (const upstream_load& load : message.loads)
         writer.add(load.upstream).add_number(load.in_flight);
     writer.add_number(to_signed(message.new_objects.size()));
     for (const known_object& known : message.new_objects)
         writer.add(known.upstream).add_number(to_signed(known.object));
-    writer.add_number(to_signed(message.crashes.size()));
-    for (const crash_notice& notice : message.crashes)
-        writer.add_number(to_signed(notice.fingerprint)).add_number(notice.deaths);
+    write_crashes(writer, message.crashes);
 }
 
 template <typename Message>
 result<void> read_lists(record_reader& reader, Message& message) {
-    BOOST_OUTCOME_TRY(const auto demands, read_count(reader));
-    for (std::int64_t index = 0; index < demands; ++index) {
-        account_demand demand;
-        BOOST_OUTCOME_TRY(demand.account, reader.read());
-        BOOST_OUTCOME_TRY(const auto scaled, reader.read_number());
-        demand.requests_per_second = static_cast<double>(scaled) / demand_scale;
-        message.demands.push_back(std::move(demand));
-    }
+    BOOST_OUTCOME_TRY(message.demands, read_demands(reader));
     BOOST_OUTCOME_TRY(const auto loads, read_count(reader));
     for (std::int64_t index = 0; index < loads; ++index) {
         upstream_load load;
@@ -70,18 +103,82 @@
         known.object = static_cast<std::uint64_t>(object);
         message.new_objects.push_back(std::move(known));
     }
-    BOOST_OUTCOME_TRY(const auto crashes, read_count(reader));
-    for (std::int64_t index = 0; index < crashes; ++index) {
-        crash_notice notice;
-        BOOST_OUTCOME_TRY(const auto fingerprint, reader.read_number());
-        notice.fingerprint = static_cast<std::uint64_t>(fingerprint);
-        BOOST_OUTCOME_TRY(const auto deaths, reader.read_number());
-        notice.deaths = static_cast<std::uint32_t>(deaths);
-        message.crashes.push_back(notice);
-    }
+    BOOST_OUTCOME_TRY(message.crashes, read_crashes(reader));
     return boost::outcome_v2::success();
 }
 
+/// Numbers of fixed width, most significant byte first: lists of them are most of a bulletin.
+template <typename Number>
+void pack(std::string& bytes, Number number) {
+    for (int shift = static_cast<int>(sizeof(Number)) * 8 - 8; shift >= 0; shift -= 8)
+        bytes.push_back(static_cast<char>((number >> shift) & 0xffU));
+}
+
+template <typename Number>
+Number unpack(std::string_view& bytes) {
+    Number number = 0;
+    for (std::size_t index = 0; index < sizeof(Number); ++index)
+        number = static_cast<Number>((number << 8U) | static_cast<unsigned char>(bytes[index]));
+    bytes.remove_prefix(sizeof(Number));
+    return number;
+}
+
+/// Reads a field of packed entries.
+result<std::string> read_packed(record_reader& reader, std::size_t entry_bytes) {
+    BOOST_OUTCOME_TRY(std::string bytes, reader.read());
+    if (bytes.size() % entry_bytes != 0)
+        return failure(error_code::protocol_violation,
+                       "bulletin: a list of " + std::to_string(bytes.size()) + " bytes");
+    return bytes;
+}
+
+void write_names(record_writer& writer, const std::vector<host_id>& names) {
+    writer.add_number(to_signed(names.size()));
+    for (const host_id& name : names)
+        writer.add(name);
+}
+
+result<std::vector<host_id>> read_names(record_reader& reader) {
+    std::vector<host_id> names;
+    BOOST_OUTCOME_TRY(const auto count, read_count(reader));
+    for (std::int64_t index = 0; index < count; ++index) {
+        BOOST_OUTCOME_TRY(host_id name, reader.read());
+        names.push_back(std::move(name));
+    }
+    return names;
+}
+
+void write_changes(record_writer& writer, const std::optional<std::vector<store_change>>& changes) {
+    writer.add_number(changes ? to_signed(changes->size()) : -1);
+    if (!changes)
+        return;
+    for (const store_change& change : *changes) {
+        writer.add(change.key).add_number(change.revision).add_number(change.value ? 1 : 0);
+        if (change.value)
+            writer.add(*change.value);
+    }
+}
+
+result<std::optional<std::vector<store_change>>> read_changes(record_reader& reader) {
+    BOOST_OUTCOME_TRY(const auto count, reader.read_number());
+    if (count < 0)
+        return std::optional<std::vector<store_change>>();
+    if (count > entry_limit)
+        return failure(error_code::protocol_violation, "bulletin: " + std::to_string(count) + " changes");
+    std::vector<store_change> changes;
+    for (std::int64_t index = 0; index < count; ++index) {
+        store_change change;
+        BOOST_OUTCOME_TRY(change.key, reader.read());
+        BOOST_OUTCOME_TRY(change.revision, reader.read_number());
+        BOOST_OUTCOME_TRY(const auto has_value, reader.read_number());
+        if (has_value != 0) {
+            BOOST_OUTCOME_TRY(change.value, reader.read());
+        }
+        changes.push_back(std::move(change));
+    }
+    return std::optional(std::move(changes));
+}
+
 } // namespace
 
 std::string write_fleet_report(const fleet_report& report) {
@@ -109,7 +206,7 @@
 
 std::string write_region_digest(const region_digest& digest) {
     record_writer writer;
-    writer.add(record_version).add(digest.region);
+    writer.add(digest_version).add(digest.region).add(digest.reporter).add_number(digest.is_complete ? 1 : 0);
     writer.add_number(to_signed(digest.hosts.size()));
     for (const relayed_host& host : digest.hosts) {
         writer.add(host.name).add_number(to_signed(host.incarnation)).add_number(host.is_leaving ? 1 : 0);
@@ -122,8 +219,11 @@
 result<region_digest> read_region_digest(std::string_view text) {
     record_reader reader(text);
     region_digest digest;
-    BOOST_OUTCOME_TRYV(reader.expect(record_version));
+    BOOST_OUTCOME_TRYV(reader.expect(digest_version));
     BOOST_OUTCOME_TRY(digest.region, reader.read());
+    BOOST_OUTCOME_TRY(digest.reporter, reader.read());
+    BOOST_OUTCOME_TRY(const auto complete, reader.read_number());
+    digest.is_complete = complete != 0;
     BOOST_OUTCOME_TRY(const auto hosts, read_count(reader));
     for (std::int64_t index = 0; index < hosts; ++index) {
         relayed_host host;
@@ -145,6 +245,100 @@
     return digest;
 }
 
+std::string write_bulletin_question(const bulletin_question& question) {
+    record_writer writer;
+    writer.add_number(to_signed(question.object_source)).add_number(to_signed(question.next_object));
+    writer.add(write_fleet_report(question.report));
+    return writer.text();
+}
+
+result<bulletin_question> read_bulletin_question(std::string_view text) {
+    record_reader reader(text);
+    bulletin_question question;
+    BOOST_OUTCOME_TRY(const auto source, reader.read_number());
+    question.object_source = static_cast<incarnation>(source);
+    BOOST_OUTCOME_TRY(const auto next, reader.read_number());
+    question.next_object = static_cast<std::uint64_t>(next);
+    BOOST_OUTCOME_TRY(const std::string report, reader.read());
+    BOOST_OUTCOME_TRYV(reader.finish());
+    BOOST_OUTCOME_TRY(question.report, read_fleet_report(report));
+    return question;
+}
+
+std::string write_region_bulletin(const region_bulletin& bulletin) {
+    record_writer writer;
+    writer.add(record_version).add(bulletin.reporter).add_number(to_signed(bulletin.reporter_run));
+    writer.add_number(bulletin.store_revision).add_number(bulletin.follows_store ? 1 : 0);
+    writer.add_number(bulletin.hears_asker ? 1 : 0);
+    write_changes(writer, bulletin.changes);
+    write_names(writer, bulletin.silent);
+    write_names(writer, bulletin.leaving);
+    writer.add_number(to_signed(bulletin.demands.size()));
+    for (const auto& [account, view] : bulletin.demands) {
+        writer.add(account).add_number(std::llround(view.others * demand_scale));
+        writer.add_number(std::llround(view.region_part * part_scale));
+    }
+    std::string loads;
+    for (const auto& [upstream, in_flight] : bulletin.loads) {
+        pack(loads, upstream);
+        pack(loads, static_cast<std::uint16_t>(std::min<std::uint32_t>(in_flight, UINT16_MAX)));
+    }
+    writer.add(loads).add_number(to_signed(bulletin.next_object));
+    std::string objects;
+    for (const numbered_object& known : bulletin.new_objects) {
+        pack(objects, known.upstream);
+        pack(objects, known.object);
+    }
+    writer.add(objects);
+    write_crashes(writer, bulletin.crashes);
+    return writer.text();
+}
+
+result<region_bulletin> read_region_bulletin(std::string_view text) {
+    record_reader reader(text);
+    region_bulletin bulletin;
+    BOOST_OUTCOME_TRYV(reader.expect(record_version));
+    BOOST_OUTCOME_TRY(bulletin.reporter, reader.read());
+    BOOST_OUTCOME_TRY(const auto run, reader.read_number());
+    bulletin.reporter_run = static_cast<incarnation>(run);
+    BOOST_OUTCOME_TRY(bulletin.store_revision, reader.read_number());
+    BOOST_OUTCOME_TRY(const auto follows, reader.read_number());
+    bulletin.follows_store = follows != 0;
+    BOOST_OUTCOME_TRY(const auto heard, reader.read_number());
+    bulletin.hears_asker = heard != 0;
+    BOOST_OUTCOME_TRY(bulletin.changes, read_changes(reader));
+    BOOST_OUTCOME_TRY(bulletin.silent, read_names(reader));
+    BOOST_OUTCOME_TRY(bulletin.leaving, read_names(reader));
+    BOOST_OUTCOME_TRY(const auto views, read_count(reader));
+    for (std::int64_t index = 0; index < views; ++index) {
+        BOOST_OUTCOME_TRY(account_id account, reader.read());
+        BOOST_OUTCOME_TRY(const auto others, reader.read_number());
+        BOOST_OUTCOME_TRY(const auto part, reader.read_number());
+        // A part above the whole would let the region spend more than the account's rate.
+        if (others < 0 || part < 0 || part > static_cast<std::int64_t>(part_scale))
+            return failure(error_code::protocol_violation, "bulletin: demand out of range");
+        bulletin.demands.emplace_back(std::move(account), demand_view{static_cast<double>(others) / demand_scale,
+                                                                      static_cast<double>(part) / part_scale});
+    }
+    constexpr std::size_t load_bytes = sizeof(upstream_number) + sizeof(std::uint16_t);
+    BOOST_OUTCOME_TRY(const std::string loads, read_packed(reader, load_bytes));
+    for (std::string_view rest = loads; !rest.empty();) {
+        const auto upstream = unpack<upstream_number>(rest);
+        bulletin.loads.emplace_back(upstream, unpack<std::uint16_t>(rest));
+    }
+    BOOST_OUTCOME_TRY(const auto next, reader.read_number());
+    bulletin.next_object = static_cast<std::uint64_t>(next);
+    constexpr std::size_t object_bytes = sizeof(upstream_number) + sizeof(std::uint64_t);
+    BOOST_OUTCOME_TRY(const std::string objects, read_packed(reader, object_bytes));
+    for (std::string_view rest = objects; !rest.empty();) {
+        const auto upstream = unpack<upstream_number>(rest);
+        bulletin.new_objects.push_back({upstream, unpack<std::uint64_t>(rest)});
+    }
+    BOOST_OUTCOME_TRY(bulletin.crashes, read_crashes(reader));
+    BOOST_OUTCOME_TRYV(reader.finish());
+    return bulletin;
+}
+
 std::string write_pool_answer(const pool_answer& answer) {
     record_writer writer;
     writer.add_number(answer.tokens);
--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -70,18 +70,18 @@
       m_retries({.ratio = m_settings.bounds.retry_ratio,
                  .extra = m_settings.bounds.extra_retries,
                  .window = m_settings.bounds.retry_window}),
-      m_client(m_runtime, m_translator.dialect(), m_log), m_exchange(m_runtime, m_membership, m_log),
-      m_gateway({.fleet = m_fleet,
-                 .membership = m_membership,
-                 .dispatcher = m_dispatcher,
-                 .limiter = m_limiter,
-                 .retries = m_retries,
-                 .crashes = m_crashes,
-                 .exchange = m_exchange,
-                 .client = m_client,
-                 .dialect = m_translator.dialect(),
-                 .log = m_log,
-                 .counters = m_metrics}) {
+      m_board(m_membership, m_crashes, {.run = m_incarnation}), m_client(m_runtime, m_translator.dialect(), m_log),
+      m_exchange(m_runtime, m_membership, m_log), m_gateway({.fleet = m_fleet,
+                                                             .membership = m_membership,
+                                                             .dispatcher = m_dispatcher,
+                                                             .limiter = m_limiter,
+                                                             .retries = m_retries,
+                                                             .crashes = m_crashes,
+                                                             .exchange = m_exchange,
+                                                             .client = m_client,
+                                                             .dialect = m_translator.dialect(),
+                                                             .log = m_log,
+                                                             .counters = m_metrics}) {
     m_client.on_distance([this](const region_id& region, duration round_trip) {
         m_dispatcher.placements().record_distance(region, round_trip);
     });
@@ -92,6 +92,9 @@
         return account == nullptr ? pool_answer() : m_limiter.grant(*account, boot_time_now());
     });
     m_exchange.on_report([this](fleet_report report) { take_report(std::move(report)); });
+    m_exchange.on_bulletin_wanted([this](const bulletin_question& question) { return make_bulletin(question); });
+    m_exchange.on_bulletin(
+        [this](region_bulletin bulletin, time_point asked_at) { take_bulletin(std::move(bulletin), asked_at); });
     m_exchange.on_digest([this](region_digest digest) { take_digest(std::move(digest)); });
 }
 
@@ -107,6 +110,7 @@
                 field("incarnation", m_incarnation));
     BOOST_OUTCOME_TRY(m_store, m_translator.connect_store(m_runtime, m_settings));
     m_follower = std::make_unique<fleet_follower>(m_runtime, *m_store, m_translator, m_fleet, m_membership, m_log);
+    m_follower->on_reporter_check([this] { return m_exchange.is_reporter(boot_time_now()); });
     m_follower->on_change([this] { apply_fleet_change(); });
     m_follower->on_peer_question(
         [this](std::int64_t revision) { return m_exchange.ask_for_snapshot(revision, boot_time_now()); });
@@ -247,9 +251,37 @@
         if (upstream->own_in_flight() > 0)
             report.loads.push_back({id, static_cast<std::uint32_t>(upstream->own_in_flight())});
     }
+    m_board.add_objects(report.new_objects);
+    m_last_report = report;
     return report;
 }
 
+region_bulletin gateway_process::make_bulletin(const bulletin_question& question) {
+    const time_point now = boot_time_now();
+    region_bulletin bulletin = m_board.answer(question, m_last_report, m_exchange.is_reporter(now), now);
+    bulletin.store_revision = m_follower->revision();
+    bulletin.follows_store = m_follower->follows_store(now);
+    bulletin.changes = m_follower->changes_since(question.report.store_revision);
+    return bulletin;
+}
+
+void gateway_process::take_bulletin(region_bulletin bulletin, time_point asked_at) {
+    const time_point now = boot_time_now();
+    m_follower->take_bulletin(bulletin, asked_at);
+    m_crashes.merge("reporter", bulletin.crashes, now);
+    if (!bulletin.new_objects.empty()) {
+        std::map<upstream_number, std::shared_ptr<observed_upstream>> numbered;
+        for (const auto& [id, upstream] : m_fleet.upstreams())
+            numbered.emplace(number_of(id), upstream);
+        for (const numbered_object& known : bulletin.new_objects) {
+            if (const auto upstream = numbered.find(known.upstream); upstream != numbered.end())
+                upstream->second->learn_object(known.object, now);
+        }
+    }
+    m_membership.record_bulletin(std::move(bulletin), asked_at, now);
+    m_has_new_reports = true;
+}
+
 void gateway_process::learn_objects(const std::vector<known_object>& objects, time_point now) {
     for (const known_object& known : objects) {
         if (const auto upstream = m_fleet.find_upstream(known.upstream))
@@ -261,6 +293,7 @@
     const time_point now = boot_time_now();
     m_crashes.merge(report.host, report.crashes, now);
     learn_objects(report.new_objects, now);
+    m_board.add_objects(report.new_objects);
     if (m_membership.record_report(std::move(report), now))
         m_has_new_reports = true;
 }
@@ -269,6 +302,7 @@
     const time_point now = boot_time_now();
     m_crashes.merge("region " + digest.region, digest.crashes, now);
     learn_objects(digest.new_objects, now);
+    m_board.add_objects(digest.new_objects);
     m_membership.record_digest(std::move(digest), now);
     m_has_new_reports = true;
 }
@@ -285,9 +319,9 @@
 }
 
 void gateway_process::update_others_in_flight(time_point now) {
-    const std::map<upstream_id, double> totals = m_membership.reported_loads(now);
+    const std::map<upstream_number, double> totals = m_membership.reported_loads(now);
     for (const auto& [id, upstream] : m_fleet.upstreams()) {
-        const auto found = totals.find(id);
+        const auto found = totals.find(number_of(id));
         upstream->set_others_in_flight(found == totals.end() ? 0 : found->second);
     }
 }
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -12,6 +12,7 @@
 #include "observability/event_log.h"
 #include "observability/metrics.h"
 #include "steering/account_limiter.h"
+#include "steering/bulletin_board.h"
 #include "steering/crash_register.h"
 #include "steering/fleet_membership.h"
 #include "steering/fleet_retry_budget.h"
@@ -67,6 +68,8 @@
     result<std::string> fetch_fleet_secret();
     fleet_report make_report();
     void take_report(fleet_report report);
+    region_bulletin make_bulletin(const bulletin_question& question);
+    void take_bulletin(region_bulletin bulletin, time_point asked_at);
     void take_digest(region_digest digest);
     void learn_objects(const std::vector<known_object>& objects, time_point now);
     void update_shares(time_point now);
@@ -96,6 +99,8 @@
     account_limiter m_limiter;
     fleet_retry_budget m_retries;
     crash_register m_crashes;
+    bulletin_board m_board;
+    fleet_report m_last_report;
     upstream_client m_client;
     fleet_exchange m_exchange;
     request_gateway m_gateway;
--- a/src/libraries/steering/account_limiter.cpp
+++ b/src/libraries/steering/account_limiter.cpp
@@ -133,7 +133,7 @@
 }
 
 void account_limiter::update_shares(const steering_table& table, const fleet_membership& fleet, time_point now) {
-    const std::map<account_id, double> demands = fleet.reported_demands(now);
+    const auto views = fleet.demand_views(now);
     m_is_relayed = fleet.uses_reporters();
     const auto hosts = static_cast<double>(fleet.size());
     const double heard = static_cast<double>(fleet.heard_peers(now)) + 1;
@@ -148,14 +148,24 @@
         account_state& state = state_of(account, now);
         state.own.refill(account, now);
         state.pool.refill(account, now);
-        const auto others = demands.find(account.name);
-        // Through reporters other hosts know either this or the previous report. With the lower of both everywhere, no
-        // host counts less for another than that one counts for itself, so the shares add up to no more than one.
+        // The reporter knows either this or the previous report. With the lower of both, no host counts less for
+        // another than that one counts for itself, so the parts of a region's hosts add up to no more than the
+        // region's.
         const double own =
             m_is_relayed ? std::min(state.reported_demand, state.previous_demand) : state.reported_demand;
-        const double total = own + (others == demands.end() ? 0 : others->second);
         const double equal = m_options.equal_part / heard;
-        const double by_demand = total > 0 ? own / total : 1 / heard;
+        double by_demand = 1 / heard;
+        if (views) {
+            const auto found = views->find(account.name);
+            const demand_view view = found == views->end() ? demand_view() : found->second;
+            // Demand that the reporter has not counted yet.
+            const bool is_uncounted = m_is_relayed && found == views->end() && own > 0;
+            if (own + view.others > 0 && !is_uncounted)
+                by_demand = view.region_part * own / (own + view.others);
+        } else {
+            // Nobody tells what others spend.
+            by_demand = 1 / hosts;
+        }
         // A host's part of the burst below one token could not send anything, so such an account is pooled whole.
         const bool is_small = account.burst * (1 - m_options.pooled_part) / hosts < 1;
         const double pooled = is_small ? 1 : m_options.pooled_part;
--- /dev/null
+++ b/src/libraries/steering/bulletin_board.cpp
@@ -0,0 +1,76 @@
+#include "steering/bulletin_board.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace ragworthinge {
+
+void bulletin_board::add_objects(const std::vector<known_object>& objects) {
+    for (const known_object& known : objects)
+        m_objects.push_back({number_of(known.upstream), known.object});
+    while (m_objects.size() > m_options.object_limit) {
+        m_objects.pop_front();
+        ++m_first_object;
+    }
+}
+
+void bulletin_board::update_sums(const fleet_report& own, time_point now) {
+    if (now - m_sums.made_at < m_options.sum_period)
+        return;
+    const auto views = m_membership.demand_views(now);
+    m_sums = {.demands = views.value_or(std::map<account_id, demand_view>()),
+              .loads = m_membership.reported_loads(now),
+              .reports = m_membership.counted_reports(now),
+              .made_at = now,
+              .knows_demand = views.has_value()};
+    for (const account_demand& demand : own.demands)
+        m_sums.demands[demand.account].others += demand.requests_per_second;
+    for (const upstream_load& load : own.loads)
+        m_sums.loads[number_of(load.upstream)] += load.in_flight;
+}
+
+region_bulletin bulletin_board::answer(const bulletin_question& question, const fleet_report& own, bool is_reporter,
+                                       time_point now) {
+    update_sums(own, now);
+    const host_id& asker = question.report.host;
+    region_bulletin bulletin;
+    bulletin.reporter = m_membership.options().self;
+    bulletin.reporter_run = m_options.run;
+    bulletin.hears_asker = is_reporter && m_membership.is_heard(asker, now);
+    bulletin.silent = m_membership.silent_hosts(now);
+    bulletin.leaving = m_membership.leaving_hosts();
+
+    // What the sums contain of the asking host may be its previous report.
+    const auto counted = m_sums.reports.find(asker);
+    std::map<account_id, double> own_demands;
+    std::map<upstream_number, double> loads = m_sums.loads;
+    if (counted != m_sums.reports.end()) {
+        for (const account_demand& demand : counted->second.demands)
+            own_demands[demand.account] = demand.requests_per_second;
+        for (const upstream_load& load : counted->second.loads)
+            loads[number_of(load.upstream)] -= load.in_flight;
+    }
+    for (const account_demand& demand : question.report.demands) {
+        // Without all reports the sums are too low and the asking host would take too large a part.
+        if (!m_sums.knows_demand)
+            break;
+        demand_view view = m_sums.demands[demand.account];
+        view.others = std::max(0.0, view.others - own_demands[demand.account]);
+        bulletin.demands.emplace_back(demand.account, view);
+    }
+    for (const auto& [upstream, in_flight] : loads) {
+        if (in_flight >= 1)
+            bulletin.loads.emplace_back(upstream, static_cast<std::uint32_t>(std::lround(in_flight)));
+    }
+
+    const bool continues = question.object_source == m_options.run;
+    const std::uint64_t from = continues ? std::max(question.next_object, m_first_object) : m_first_object;
+    bulletin.next_object = m_first_object + m_objects.size();
+    if (from < bulletin.next_object)
+        bulletin.new_objects.assign(m_objects.begin() + static_cast<std::ptrdiff_t>(from - m_first_object),
+                                    m_objects.end());
+    bulletin.crashes = m_crashes.notices_without(asker, now);
+    return bulletin;
+}
+
+} // namespace ragworthinge
--- a/src/libraries/steering/crash_register.cpp
+++ b/src/libraries/steering/crash_register.cpp
@@ -47,4 +47,21 @@
     return all;
 }
 
+std::vector<crash_notice> crash_register::notices_without(const host_id& host, time_point now) {
+    std::map<std::uint64_t, std::uint32_t> sums;
+    for (const crash_notice& notice : notices(now))
+        sums[notice.fingerprint] += notice.deaths;
+    for (auto& [other, records] : m_others) {
+        forget_old(records, now);
+        if (other == host)
+            continue;
+        for (const auto& [fingerprint, record] : records)
+            sums[fingerprint] += record.deaths;
+    }
+    std::vector<crash_notice> all;
+    for (const auto& [fingerprint, deaths] : sums)
+        all.push_back({fingerprint, deaths});
+    return all;
+}
+
 } // namespace ragworthinge
--- a/src/libraries/steering/crash_register.h
+++ b/src/libraries/steering/crash_register.h
@@ -34,6 +34,9 @@
     /// Own counts, for the report.
     std::vector<crash_notice> notices(time_point now);
 
+    /// Counts of this and all other hosts but the given one, for its bulletin.
+    std::vector<crash_notice> notices_without(const host_id& host, time_point now);
+
 private:
     struct count {
         unsigned deaths = 0;
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -18,6 +18,7 @@
     known.announced_at = now;
     known.reported_at.reset();
     known.relayed_at.reset();
+    known.has_fallen_silent = false;
     known.report = {};
 }
 
@@ -39,6 +40,7 @@
     if (found == m_members.end() || found->second.host.incarnation != report.incarnation)
         return false;
     found->second.reported_at = now;
+    found->second.has_fallen_silent = false;
     found->second.report = std::move(report);
     return true;
 }
@@ -55,37 +57,113 @@
         if (known.relayed_at && *known.relayed_at > relayed_at)
             continue;
         known.relayed_at = relayed_at;
+        known.has_fallen_silent = false;
         known.report.is_leaving = relayed.is_leaving;
         known.report.store_revision = std::max(known.report.store_revision, relayed.store_revision);
     }
-    const region_id region = digest.region;
-    m_digests[region] = {std::move(digest), now};
+    const auto covers = [&](const region_digest& old) {
+        return std::all_of(old.hosts.begin(), old.hosts.end(), [&](const relayed_host& host) {
+            return host.name == old.reporter ||
+                   std::any_of(digest.hosts.begin(), digest.hosts.end(),
+                               [&](const relayed_host& known) { return known.name == host.name; });
+        });
+    };
+    std::vector<relayed_region>& kept = m_digests[digest.region];
+    std::erase_if(kept, [&](const relayed_region& old) {
+        return old.digest.reporter == digest.reporter || now - old.received_at >= m_options.silence_limit ||
+               covers(old.digest);
+    });
+    kept.push_back({std::move(digest), now});
+}
+
+void fleet_membership::record_bulletin(region_bulletin bulletin, time_point asked_at, time_point now) {
+    const std::set<host_id> silent(bulletin.silent.begin(), bulletin.silent.end());
+    const std::set<host_id> leaving(bulletin.leaving.begin(), bulletin.leaving.end());
+    for (auto& [name, known] : m_members) {
+        const bool is_reporter = name == bulletin.reporter;
+        if (name == m_options.self || (silent.contains(name) && !is_reporter)) {
+            known.relayed_at.reset();
+            known.has_fallen_silent = true;
+            continue;
+        }
+        const bool is_newcomer =
+            !known.reported_at && !known.relayed_at && now - known.announced_at < m_options.newcomer_time;
+        if (is_newcomer && !is_reporter)
+            continue;
+        known.relayed_at = std::max(known.relayed_at.value_or(asked_at), asked_at);
+        known.has_fallen_silent = false;
+        known.report.is_leaving = leaving.contains(name);
+        if (is_reporter)
+            known.report.store_revision = std::max(known.report.store_revision, bulletin.store_revision);
+    }
+    m_bulletin = {std::move(bulletin), now};
+    // Another host is the reporter: what was added up here is outdated.
+    m_region_sums.clear();
+}
+
+const region_bulletin* fleet_membership::current_bulletin(time_point now) const {
+    const bool is_current = m_bulletin && now - m_bulletin->received_at < m_options.silence_limit;
+    return is_current ? &m_bulletin->bulletin : nullptr;
+}
+
+bool fleet_membership::is_unheard(time_point now) const {
+    const region_bulletin* bulletin = current_bulletin(now);
+    return bulletin != nullptr && !bulletin->hears_asker;
+}
+
+bool fleet_membership::is_silent(const member& known, time_point now) const {
+    if (is_heard(known, now))
+        return false;
+    const bool was_heard = known.reported_at || known.relayed_at || known.has_fallen_silent;
+    return was_heard || now - known.announced_at >= m_options.first_report_limit;
+}
+
+bool fleet_membership::has_all_reports(time_point now) const {
+    return !m_region_sums.empty() && now - m_reporter_since >= m_options.takeover_time;
+}
+
+std::vector<host_id> fleet_membership::silent_hosts(time_point now) const {
+    std::vector<host_id> silent;
+    for (const auto& [name, known] : m_members) {
+        if (name != m_options.self && is_silent(known, now))
+            silent.push_back(name);
+    }
+    return silent;
+}
+
+std::vector<host_id> fleet_membership::leaving_hosts() const {
+    std::vector<host_id> leaving;
+    for (const auto& [name, known] : m_members) {
+        if (name == m_options.self ? m_leaving : known.report.is_leaving)
+            leaving.push_back(name);
+    }
+    return leaving;
 }
 
 std::optional<host_id> fleet_membership::reporter_of(const region_id& region, const std::set<host_id>& unreachable,
                                                      time_point now) const {
-    std::vector<host_id> heard;
-    std::vector<host_id> registered;
+    std::vector<host_id> candidates;
     for (const auto& [name, known] : m_members) {
         const bool is_self = name == m_options.self;
         const bool leaves = is_self ? m_leaving : known.report.is_leaving;
         if (known.host.region != region || unreachable.contains(name) || leaves)
             continue;
-        if (is_self || is_heard(known, now))
-            heard.push_back(name);
-        else if (!known.withdrawn_at)
-            registered.push_back(name);
+        if (is_self || is_heard(known, now) || (!known.withdrawn_at && !is_silent(known, now)))
+            candidates.push_back(name);
     }
     if (region == m_options.region && !m_members.contains(m_options.self) && !m_leaving)
-        heard.push_back(m_options.self);
-    if (heard.empty() && registered.empty() && !unreachable.empty())
+        candidates.push_back(m_options.self);
+    if (candidates.empty() && !unreachable.empty())
         return reporter_of(region, {}, now);
-    return highest_ranked_host("reporter/" + region, heard.empty() ? registered : heard);
+    return highest_ranked_host("reporter/" + region, candidates);
 }
 
-region_digest fleet_membership::make_digest(const fleet_report& own, time_point now) const {
+region_digest fleet_membership::make_digest(const fleet_report& own, time_point now) {
     region_digest digest;
     digest.region = m_options.region;
+    digest.reporter = m_options.self;
+    if (m_region_sums.empty())
+        m_reporter_since = now;
     std::map<account_id, double> demands;
     std::map<upstream_id, std::uint32_t> loads;
     std::map<std::uint64_t, std::uint32_t> deaths;
@@ -106,6 +184,10 @@
     }
     for (auto& [account, demand] : demands)
         digest.demands.push_back({account, demand});
+    m_region_sums.push_front(std::move(demands));
+    if (m_region_sums.size() > m_options.remembered_digests)
+        m_region_sums.pop_back();
+    digest.is_complete = has_all_reports(now);
     for (auto& [upstream, in_flight] : loads)
         digest.loads.push_back({upstream, in_flight});
     for (auto& [fingerprint, count] : deaths)
@@ -135,7 +217,7 @@
         const auto found = m_members.find(name);
         const bool is_self = name == m_options.self;
         const bool leaves = is_self ? m_leaving : found != m_members.end() && found->second.report.is_leaving;
-        if (is_heard(name, now) && !leaves)
+        if ((is_self || !is_unheard(now)) && is_heard(name, now) && !leaves)
             keepers.push_back(std::move(name));
     }
     return keepers;
@@ -162,21 +244,37 @@
 
 template <typename Function>
 void fleet_membership::for_each_part(time_point now, Function&& function) const {
+    for (const auto& [region, digests] : m_digests) {
+        for (const relayed_region& known : digests) {
+            if (now - known.received_at < m_options.silence_limit)
+                function(known.digest);
+        }
+    }
+    for (const auto& [name, report] : counted_reports(now))
+        function(report);
+}
+
+std::map<host_id, fleet_report> fleet_membership::counted_reports(time_point now) const {
     std::set<host_id> relayed;
-    for (const auto& [region, known] : m_digests) {
-        if (now - known.received_at >= m_options.silence_limit)
-            continue;
-        function(known.digest);
-        for (const relayed_host& host : known.digest.hosts)
-            relayed.insert(host.name);
+    for (const auto& [region, digests] : m_digests) {
+        for (const relayed_region& known : digests) {
+            if (now - known.received_at >= m_options.silence_limit)
+                continue;
+            for (const relayed_host& host : known.digest.hosts)
+                relayed.insert(host.name);
+        }
     }
+    std::map<host_id, fleet_report> reports;
     for (const auto& [name, known] : m_members) {
         if (name != m_options.self && is_reporting(known, now) && !relayed.contains(name))
-            function(known.report);
+            reports.emplace(name, known.report);
     }
+    return reports;
 }
 
 std::size_t fleet_membership::heard_peers(time_point now) const {
+    if (is_unheard(now))
+        return 0;
     return static_cast<std::size_t>(std::count_if(m_members.begin(), m_members.end(), [&](const auto& entry) {
         return entry.first != m_options.self && is_heard(entry.second, now);
     }));
@@ -191,12 +289,96 @@
     return sums;
 }
 
-std::map<upstream_id, double> fleet_membership::reported_loads(time_point now) const {
-    std::map<upstream_id, double> sums;
+std::map<account_id, double> fleet_membership::region_demands(time_point now) const {
+    std::map<account_id, double> sums;
+    for (const auto& [name, known] : m_members) {
+        if (name == m_options.self || known.host.region != m_options.region || !is_reporting(known, now))
+            continue;
+        for (const account_demand& demand : known.report.demands)
+            sums[demand.account] += demand.requests_per_second;
+    }
+    return sums;
+}
+
+std::map<account_id, double> fleet_membership::foreign_demands(time_point now) const {
+    std::map<account_id, double> sums;
+    for (const auto& [region, digests] : m_digests) {
+        for (const relayed_region& known : digests) {
+            if (now - known.received_at >= m_options.silence_limit)
+                continue;
+            for (const account_demand& demand : known.digest.demands)
+                sums[demand.account] += demand.requests_per_second;
+        }
+    }
+    return sums;
+}
+
+double fleet_membership::region_part(const account_id& account, const std::map<account_id, double>& foreign) const {
+    double lowest = 0;
+    for (std::size_t index = 0; index < m_region_sums.size(); ++index) {
+        const auto found = m_region_sums[index].find(account);
+        const double sum = found == m_region_sums[index].end() ? 0 : found->second;
+        lowest = index == 0 ? sum : std::min(lowest, sum);
+    }
+    const auto found = foreign.find(account);
+    const double elsewhere = found == foreign.end() ? 0 : found->second;
+    if (elsewhere <= 0)
+        return 1;
+    return lowest / (lowest + elsewhere);
+}
+
+bool fleet_membership::knows_foreign_demand(time_point now) const {
+    return std::all_of(m_digests.begin(), m_digests.end(), [&](const auto& entry) {
+        const auto& digests = entry.second;
+        const auto is_current = [&](const relayed_region& known) {
+            return now - known.received_at < m_options.silence_limit;
+        };
+        const bool has_any = std::any_of(digests.begin(), digests.end(), is_current);
+        return !has_any || std::any_of(digests.begin(), digests.end(), [&](const relayed_region& known) {
+            return is_current(known) && known.digest.is_complete;
+        });
+    });
+}
+
+std::optional<std::map<account_id, demand_view>> fleet_membership::demand_views(time_point now) const {
+    std::map<account_id, demand_view> views;
+    if (!uses_reporters()) {
+        for (const auto& [account, others] : reported_demands(now))
+            views[account].others = others;
+        return views;
+    }
+    const region_bulletin* bulletin = current_bulletin(now);
+    if (bulletin == nullptr && (!has_all_reports(now) || !knows_foreign_demand(now)))
+        return std::nullopt;
+    if (!m_region_sums.empty()) {
+        const std::map<account_id, double> foreign = foreign_demands(now);
+        for (const auto& [account, sum] : m_region_sums.front())
+            views[account].region_part = region_part(account, foreign);
+        for (const auto& [account, others] : region_demands(now))
+            views[account].others = others;
+    }
+    // A host that has just become its region's reporter hears some hosts itself and knows the others from before.
+    if (bulletin != nullptr) {
+        for (const auto& [account, view] : bulletin->demands) {
+            const auto [entry, created] = views.try_emplace(account, view);
+            entry->second.others = std::max(entry->second.others, view.others);
+        }
+    }
+    return views;
+}
+
+std::map<upstream_number, double> fleet_membership::reported_loads(time_point now) const {
+    std::map<upstream_number, double> sums;
     for_each_part(now, [&](const auto& part) {
         for (const upstream_load& load : part.loads)
-            sums[load.upstream] += load.in_flight;
+            sums[number_of(load.upstream)] += load.in_flight;
     });
+    if (const region_bulletin* bulletin = current_bulletin(now)) {
+        for (const auto& [upstream, in_flight] : bulletin->loads) {
+            double& sum = sums[upstream];
+            sum = std::max(sum, static_cast<double>(in_flight));
+        }
+    }
     return sums;
 }
 
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -4,6 +4,7 @@
 #include "steering/fleet_change.h"
 #include "steering/fleet_report.h"
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -26,9 +27,17 @@
     duration reservation = std::chrono::seconds(40);
     /// The same for a host that said that it leaves. It serves on until it stops; source: a grace period of 6 s.
     duration leaving_reservation = std::chrono::seconds(7);
-    /// A host of another region that is known through a reporter is heard for this much longer: its report waits up to
-    /// one report period for the next digest. Source: the report period of 0.8 s.
+    /// A host that is known through a reporter is heard for this much longer: its report waits up to one report period
+    /// for the next digest or bulletin. Source: the report period of 0.8 s.
     duration relay_allowance = std::chrono::milliseconds(800);
+    /// A registered host that appeared within this time may be unknown to the reporter, so its bulletin says nothing of
+    /// it. Source: the reporter asks the store every 0.2 s, and an answer may take 0.7 s.
+    duration newcomer_time = std::chrono::milliseconds(1500);
+    /// A host that has become its region's reporter has a report of each host after this time: two report periods.
+    duration takeover_time = std::chrono::milliseconds(1700);
+    /// Digests of which the other regions know one: each is on its way for up to two report periods, with the bulletin
+    /// and the sums behind it.
+    std::size_t remembered_digests = 4;
     /// Up to this many hosts each reports to all others; larger fleets report through one host per region.
     /// Source: with 24 hosts a report of 0.4 kB per peer and period makes 12 kB/s each way (docs/CAPACITY.md).
     std::size_t direct_fleet_size = 24;
@@ -56,20 +65,30 @@
     void set_leaving() noexcept { m_leaving = true; }
     bool is_leaving() const noexcept { return m_leaving; }
 
-    /// Takes what the reporter of another region added up. Hosts that are not registered are left out.
+    /// Takes what the reporter of another region added up. Hosts that are not registered are left out. While a region
+    /// changes its reporter, the digest of the earlier one counts too until a newer one has all of its hosts: demand
+    /// that counts twice lowers shares, demand that is left out raises them.
     void record_digest(region_digest digest, time_point now);
 
+    /// Takes the answer of the own region's reporter to a question sent at `asked_at`.
+    void record_bulletin(region_bulletin bulletin, time_point asked_at, time_point now);
+
+    /// Registered hosts that are not heard, and those that leave, for bulletins.
+    std::vector<host_id> silent_hosts(time_point now) const;
+    std::vector<host_id> leaving_hosts() const;
+
     /// Whether the fleet is too large for reports from each host to each other.
     bool uses_reporters() const { return size() > m_options.direct_fleet_size; }
 
-    /// The host that adds up the reports of its region: the first in everyone's ranking of those that are heard and
-    /// stay; while none of a region is heard, the first that is registered. Hosts that could not be reached are passed
-    /// over unless that leaves none: after a cut between regions one must be tried again.
+    /// The host that adds up the reports of its region: the first in everyone's ranking of those that stay and are
+    /// heard, or are registered and have not fallen silent. Hosts that could not be reached are passed over unless that
+    /// leaves none: after a cut between regions one must be tried again.
     std::optional<host_id> reporter_of(const region_id& region, const std::set<host_id>& unreachable,
                                        time_point now) const;
 
-    /// Adds up the direct reports of this host's region for other regions; `own` is this host's report.
-    region_digest make_digest(const fleet_report& own, time_point now) const;
+    /// Adds up the direct reports of this host's region for other regions; `own` is this host's report. Remembers the
+    /// sums of demand, since the other regions know one of the last ones.
+    region_digest make_digest(const fleet_report& own, time_point now);
 
     /// Hosts that may spend a part of the fleet's budgets, this one included even if the store does not list it.
     std::size_t size() const;
@@ -77,20 +96,37 @@
     /// Names of the hosts that are registered or heard, and of this one, in order.
     std::vector<host_id> names(time_point now) const;
 
-    /// Hosts that may keep a pool: those that are heard and do not leave.
+    /// Hosts that may keep a pool: those that are heard and do not leave. Only this one while others do not hear it.
     std::vector<host_id> pool_keepers(time_point now) const;
 
     /// Whether the host's reports arrive, or it is this one.
     bool is_heard(const host_id& name, time_point now) const;
 
-    /// Other hosts that are heard.
+    /// Other hosts that are heard and hear this one.
     std::size_t heard_peers(time_point now) const;
 
     /// Demand of the other hosts that are heard, added up per account.
     std::map<account_id, double> reported_demands(time_point now) const;
 
+    /// Demand per account as this host has to count it for its part of the rates. Nothing while it does not know: its
+    /// region's reporter has not answered lately.
+    std::optional<std::map<account_id, demand_view>> demand_views(time_point now) const;
+
+    /// Demand in this host's region by direct reports, of all hosts but this one.
+    std::map<account_id, double> region_demands(time_point now) const;
+
+    /// The part of an account's demand that arrives in this region, at its reporter. The lowest of the region's last
+    /// sums counts: then no region counts less for another than that one counts for itself.
+    double region_part(const account_id& account, const std::map<account_id, double>& foreign) const;
+
+    /// Demand in other regions by their digests.
+    std::map<account_id, double> foreign_demands(time_point now) const;
+
     /// Requests of the other hosts that are heard, added up per upstream.
-    std::map<upstream_id, double> reported_loads(time_point now) const;
+    std::map<upstream_number, double> reported_loads(time_point now) const;
+
+    /// Direct reports that the two sums above contain.
+    std::map<host_id, fleet_report> counted_reports(time_point now) const;
 
     /// The heard host that knows the highest store revision, if that is above the given one.
     std::optional<host_id> best_informed_peer(std::int64_t known_revision, time_point now) const;
@@ -111,7 +147,8 @@
         std::optional<time_point> reported_at; ///< By the host itself.
         std::optional<time_point> relayed_at;  ///< The same as the reporter of its region had it.
         std::optional<time_point> withdrawn_at;
-        fleet_report report; ///< Empty lists if it is only known through a reporter.
+        bool has_fallen_silent = false; ///< It was heard, by this host or the reporter, and is no longer.
+        fleet_report report;            ///< Empty lists if it is only known through a reporter.
     };
 
     struct relayed_region {
@@ -119,6 +156,18 @@
         time_point received_at;
     };
 
+    struct received_bulletin {
+        region_bulletin bulletin;
+        time_point received_at;
+    };
+
+    const region_bulletin* current_bulletin(time_point now) const;
+    bool is_unheard(time_point now) const;
+    bool is_silent(const member& known, time_point now) const;
+    bool has_all_reports(time_point now) const;
+
+    /// Whether each other region that sends digests has a reporter with all reports.
+    bool knows_foreign_demand(time_point now) const;
     bool takes_callers(const member& candidate, time_point now) const;
     bool is_heard(const member& known, time_point now) const;
     bool is_reporting(const member& known, time_point now) const;
@@ -131,7 +180,10 @@
 
     fleet_membership_options m_options;
     std::map<host_id, member> m_members;
-    std::map<region_id, relayed_region> m_digests; ///< Latest one of each other region.
+    std::map<region_id, std::vector<relayed_region>> m_digests; ///< Latest of each reporter of the other regions.
+    time_point m_reporter_since; ///< Of the first digest made here since another host was the reporter.
+    std::deque<std::map<account_id, double>> m_region_sums; ///< Of the last digests made here, newest first.
+    std::optional<received_bulletin> m_bulletin;            ///< Latest one of the own region's reporter.
     bool m_leaving = false;
 };
 
--- a/src/libraries/store/platform_store.h
+++ b/src/libraries/store/platform_store.h
@@ -88,6 +88,9 @@
     /// Extends a lease; returns the remaining time, or not_found if the lease has ended.
     virtual result<std::chrono::seconds> keep_lease_alive(std::int64_t lease) = 0;
 
+    /// Time after which a watch without changes ends. Stores that stream changes have no such time.
+    virtual void set_watch_time(std::chrono::milliseconds /*time*/) {}
+
     /// Delivers all changes below the prefix after `from_revision` until the callback returns false or the stream ends.
     /// Returns the revision up to which events were delivered; not_found means that the history was compacted.
     virtual result<std::int64_t>
--- a/tests/gateway/codecs_test.cpp
+++ b/tests/gateway/codecs_test.cpp
@@ -80,6 +80,67 @@
     }
 }
 
+TEST_CASE("a bulletin and its question survive their text forms") {
+    bulletin_question question;
+    question.report.host = "front-1";
+    question.object_source = 0x7fffffffffffffffULL;
+    question.next_object = 12;
+    const std::string asked = write_bulletin_question(question);
+    const auto read_question = read_bulletin_question(asked);
+    REQUIRE(read_question);
+    CHECK(read_question.value().report.host == "front-1");
+    CHECK(read_question.value().object_source == question.object_source);
+    CHECK(read_question.value().next_object == 12);
+    for (std::size_t length = 0; length < asked.size(); ++length)
+        CHECK_FALSE(read_bulletin_question(asked.substr(0, length)));
+
+    region_bulletin bulletin;
+    bulletin.reporter = "front-2";
+    bulletin.reporter_run = 9;
+    bulletin.store_revision = 400;
+    bulletin.follows_store = true;
+    bulletin.hears_asker = true;
+    bulletin.changes = {{"up/one", "any: bytes, 3:", 399}, {"up/two", std::nullopt, 400}};
+    bulletin.silent = {"front-3"};
+    bulletin.leaving = {"front-4", "front-5"};
+    bulletin.demands = {{"florist", {12.34, 0.25}}};
+    bulletin.loads = {{0xfffefdfcU, 3}, {1, 70'000}};
+    bulletin.next_object = 44;
+    bulletin.new_objects = {{0x80000001U, 0xfedcba9876543210ULL}};
+    bulletin.crashes = {{0xffffffffffffffffULL, 2}};
+    const std::string text = write_region_bulletin(bulletin);
+    const auto read = read_region_bulletin(text);
+    REQUIRE(read);
+    CHECK(read.value().reporter == "front-2");
+    CHECK(read.value().reporter_run == 9);
+    CHECK(read.value().store_revision == 400);
+    CHECK(read.value().follows_store);
+    CHECK(read.value().hears_asker);
+    REQUIRE(read.value().changes);
+    CHECK(read.value().changes->at(0).value == "any: bytes, 3:");
+    CHECK_FALSE(read.value().changes->at(1).value);
+    CHECK(read.value().changes->at(1).revision == 400);
+    CHECK(read.value().silent == bulletin.silent);
+    CHECK(read.value().leaving == bulletin.leaving);
+    CHECK(read.value().demands.at(0).second.others == Approx(12.34));
+    CHECK(read.value().demands.at(0).second.region_part == Approx(0.25));
+    CHECK(read.value().loads.at(0) == bulletin.loads.at(0));
+    CHECK(read.value().loads.at(1).second == 65'535);
+    CHECK(read.value().next_object == 44);
+    CHECK(read.value().new_objects.at(0).object == 0xfedcba9876543210ULL);
+    CHECK(read.value().crashes.at(0).deaths == 2);
+    bulletin.changes.reset();
+    CHECK_FALSE(read_region_bulletin(write_region_bulletin(bulletin)).value().changes);
+
+    SECTION("and are refused when they are damaged") {
+        for (std::size_t length = 0; length < text.size(); ++length)
+            CHECK_FALSE(read_region_bulletin(text.substr(0, length)));
+        CHECK_FALSE(read_region_bulletin(text + "x"));
+        bulletin.demands[0].second.region_part = 1.5;
+        CHECK_FALSE(read_region_bulletin(write_region_bulletin(bulletin)));
+    }
+}
+
 TEST_CASE("a host's record survives its text form") {
     const entry_host host = make_host("front-1", 77, "delta");
     const auto read = read_host_record(write_host_record(host));
--- a/tests/gateway/fleet_follower_test.cpp
+++ b/tests/gateway/fleet_follower_test.cpp
@@ -232,3 +232,177 @@
         CHECK(host.fleet.upstreams().empty());
     });
 }
+
+namespace {
+
+/// A host that asks `reporter` for bulletins each 20 ms while the function allows it.
+struct bulletin_fixture : follower_fixture {
+    explicit bulletin_fixture(fleet_follower_options options = {.poll_period = 10ms,
+                                                                .bulletin_limit = 100ms,
+                                                                .check_period = 10ms,
+                                                                .retry_period = 10ms})
+        : asker(runtime, store, translator, asker_fleet, asker_membership, log, options) {
+        follower.on_reporter_check([] { return true; });
+        store.before_call = [this](std::string_view call) {
+            if (call == "watch_prefix")
+                ++watches;
+        };
+    }
+
+    region_bulletin make_bulletin(std::int64_t known) const {
+        region_bulletin bulletin;
+        bulletin.reporter = "reporter";
+        bulletin.store_revision = follower.revision();
+        bulletin.follows_store = follower.follows_store(boot_time_now());
+        bulletin.changes = follower.changes_since(known);
+        return bulletin;
+    }
+
+    void pass_bulletin() { asker.take_bulletin(make_bulletin(asker.revision()), boot_time_now()); }
+
+    void pass_bulletins(duration time) {
+        const time_point end = boot_time_now() + time;
+        while (boot_time_now() < end) {
+            pass_bulletin();
+            wait(20ms);
+        }
+    }
+
+    fleet_state asker_fleet = make_fleet();
+    fleet_membership asker_membership = make_membership("asker");
+    fleet_follower asker;
+    int watches = 0;
+};
+
+} // namespace
+
+// Guards against a question to the store per host and period: with 195 hosts they were the dearest part of a day.
+TEST_CASE("a host follows the store through its reporter without asking it") {
+    bulletin_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.store.put("up/one", "x");
+        host.follower.start();
+        host.asker.start();
+        host.wait();
+        host.pass_bulletin();
+        host.wait(20ms);
+        // The reporter's own questions are told apart by stopping it.
+        const int before = host.watches;
+        host.store.put("up/two", "x");
+        host.store.remove("up/one");
+        host.store.put("config", "4");
+        host.pass_bulletins(200ms);
+        CHECK(host.asker_fleet.table()->configuration().version == 4);
+        CHECK(host.asker_fleet.find_upstream("two") != nullptr);
+        CHECK(host.asker_fleet.find_upstream("one") == nullptr);
+        CHECK(host.asker.revision() == host.follower.revision());
+        // The reporter asks every 200 ms or at a change; a host on its own would have asked 20 times.
+        CHECK(host.watches - before <= 6);
+    });
+}
+
+// Guards against changes that are missed because the reporter died or lost the store.
+TEST_CASE("a host asks the store itself when its reporter stays silent or does not follow the store") {
+    bulletin_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.follower.start();
+        host.asker.start();
+        host.wait();
+        host.pass_bulletins(60ms);
+
+        SECTION("silent") {
+            host.store.put("config", "5");
+            host.wait(150ms);
+            CHECK(host.asker_fleet.table()->configuration().version == 5);
+        }
+        SECTION("not following") {
+            region_bulletin bulletin = host.make_bulletin(host.asker.revision());
+            host.store.put("config", "5");
+            bulletin.follows_store = false;
+            host.asker.take_bulletin(bulletin, boot_time_now());
+            host.wait(40ms);
+            CHECK(host.asker_fleet.table()->configuration().version == 5);
+        }
+        SECTION("without the changes") {
+            region_bulletin bulletin = host.make_bulletin(host.asker.revision());
+            host.store.put("config", "5");
+            bulletin.store_revision += 1;
+            bulletin.changes.reset();
+            host.asker.take_bulletin(bulletin, boot_time_now());
+            CHECK(host.asker.revision() < bulletin.store_revision);
+            host.wait(40ms);
+            CHECK(host.asker_fleet.table()->configuration().version == 5);
+        }
+    });
+}
+
+// Guards against an upstream that comes back because an older change arrives after its removal.
+TEST_CASE("an old bulletin brings nothing back") {
+    bulletin_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.follower.start();
+        host.asker.start();
+        host.wait();
+        const std::int64_t known = host.asker.revision();
+        host.store.put("up/one", "x");
+        host.wait(250ms);
+        const region_bulletin old = host.make_bulletin(known);
+        REQUIRE(old.changes);
+        REQUIRE(old.changes->size() == 1);
+        host.store.remove("up/one");
+        host.wait(250ms);
+        REQUIRE(host.asker_fleet.upstreams().empty());
+        const std::int64_t revision = host.asker.revision();
+        host.asker.take_bulletin(old, boot_time_now());
+        CHECK(host.asker_fleet.upstreams().empty());
+        CHECK(host.asker.revision() == revision);
+    });
+}
+
+// Guards against a reporter's link that is full of copies of one large change.
+TEST_CASE("large changes are left to the store") {
+    bulletin_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.follower.start();
+        host.wait();
+        const std::int64_t known = host.follower.revision();
+        host.store.put("up/one", std::string(20'000, 'x'));
+        host.wait(250ms);
+        CHECK_FALSE(host.follower.changes_since(known));
+        const std::int64_t later = host.follower.revision();
+        host.store.put("up/two", "x");
+        host.wait(250ms);
+        CHECK(host.follower.changes_since(later)->size() == 1);
+        // What is kept has a bound too.
+        for (int index = 0; index < 60; ++index)
+            host.store.put("up/three", std::string(20'000, static_cast<char>('a' + index % 26)));
+        host.wait(250ms);
+        CHECK_FALSE(host.follower.changes_since(later));
+    });
+}
+
+// Guards against hosts that trust a reporter whose question the store leaves open.
+TEST_CASE("a reporter does not claim to follow a store that does not answer") {
+    bulletin_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        CHECK_FALSE(host.follower.follows_store(boot_time_now()));
+        host.follower.start();
+        host.wait();
+        CHECK(host.follower.follows_store(boot_time_now()));
+        host.store.before_call = [&](std::string_view) {
+            host.runtime.sleep_for(1300ms);
+        };
+        host.wait(1250ms);
+        CHECK_FALSE(host.follower.follows_store(boot_time_now()));
+        host.wait(600ms);
+        host.store.before_call = nullptr;
+        host.store.faults.down = true;
+        host.wait(1500ms);
+        CHECK_FALSE(host.follower.follows_store(boot_time_now()));
+    });
+}
--- a/tests/steering/account_limiter_test.cpp
+++ b/tests/steering/account_limiter_test.cpp
@@ -1,5 +1,6 @@
 #include "steering/account_limiter.h"
 
+#include "steering/bulletin_board.h"
 #include "steering/steering_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -10,7 +11,9 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
+#include <set>
 
 using namespace ragworthinge;
 using namespace std::chrono_literals;
@@ -138,6 +141,11 @@
         incarnation run = 1;
         fleet_membership membership;
         account_limiter limiter;
+        crash_register crashes;
+        bulletin_board board{membership, crashes, {}};
+        fleet_report last_report;
+        std::map<host_id, time_point>
+            unreachable; ///< Reporters that did not answer, and until when they are passed over.
         bool is_cut = false;
         bool is_leaving = false;
         bool is_frozen = false;
@@ -156,13 +164,17 @@
             report.incarnation = sender.run;
             report.is_leaving = sender.is_leaving;
             report.demands = sender.limiter.report_demands(m_now);
-            const bool is_relayed = sender.membership.uses_reporters();
-            for (auto& receiver : m_hosts) {
-                if (can_hear(sender, *receiver) && (!is_relayed || receiver->region == sender.region))
-                    receiver->membership.record_report(report, m_now);
-            }
-            if (is_relayed && sender.membership.reporter_of(sender.region, {}, m_now) == sender.name)
+            sender.last_report = report;
+            if (!sender.membership.uses_reporters()) {
+                for (auto& receiver : m_hosts) {
+                    if (can_hear(sender, *receiver))
+                        receiver->membership.record_report(report, m_now);
+                }
+            } else if (is_reporter(sender)) {
                 send_digest(sender, report);
+            } else {
+                ask_reporter(sender, report);
+            }
             for (auto& each : m_hosts) {
                 if (!each->is_frozen)
                     each->limiter.update_shares(m_table, each->membership, m_now);
@@ -174,20 +186,45 @@
         return &receiver != &sender && !sender.is_cut && !receiver.is_cut && !receiver.is_frozen;
     }
 
-    /// To the other regions' reporters, which pass it on.
-    void send_digest(const host& sender, const fleet_report& report) {
+    /// To the other regions' reporters.
+    void send_digest(host& sender, const fleet_report& report) {
         const region_digest digest = sender.membership.make_digest(report, m_now);
         for (const region_id& region : sender.membership.other_regions()) {
             const auto reporter = sender.membership.reporter_of(region, {}, m_now);
-            for (auto& relay : m_hosts) {
-                if (relay->name != reporter || !can_hear(sender, *relay))
-                    continue;
-                relay->membership.record_digest(digest, m_now);
-                for (auto& receiver : m_hosts) {
-                    if (receiver->region == region && can_hear(*relay, *receiver))
-                        receiver->membership.record_digest(digest, m_now);
-                }
+            for (auto& receiver : m_hosts) {
+                if (receiver->name == reporter && can_hear(sender, *receiver))
+                    receiver->membership.record_digest(digest, m_now);
+            }
+        }
+    }
+
+    std::optional<host_id> reporter_of(const host& one) const {
+        std::set<host_id> unreachable;
+        for (const auto& [name, until] : one.unreachable) {
+            if (m_now < until)
+                unreachable.insert(name);
+        }
+        return one.membership.reporter_of(one.region, unreachable, m_now);
+    }
+
+    bool is_reporter(const host& one) const { return reporter_of(one) == one.name; }
+
+    /// The report is the question; a reporter that cannot be reached is passed over the next time.
+    void ask_reporter(host& sender, const fleet_report& report) {
+        const auto name = reporter_of(sender);
+        for (auto& reporter : m_hosts) {
+            if (reporter->name != name)
+                continue;
+            if (!can_hear(sender, *reporter)) {
+                sender.unreachable[*name] = m_now + 5s;
+                return;
             }
+            reporter->membership.record_report(report, m_now);
+            bulletin_question question;
+            question.report = report;
+            sender.membership.record_bulletin(
+                reporter->board.answer(question, reporter->last_report, is_reporter(*reporter), m_now), m_now, m_now);
+            return;
         }
     }
 
--- /dev/null
+++ b/tests/steering/bulletin_board_test.cpp
@@ -0,0 +1,194 @@
+#include "steering/bulletin_board.h"
+
+#include "steering/steering_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+
+using namespace ragworthinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr duration report_period = 800ms;
+
+/// The reporter "r" of a region with the hosts "a" and "b", in a fleet that has reporters.
+struct reporter_fixture {
+    reporter_fixture()
+        : membership({.self = "r", .region = "gulf", .failure_domain = "gulf-a", .direct_fleet_size = 1}) {
+        for (const std::string name : {"r", "a", "b"})
+            membership.announce(make_host(name), test_start);
+        own.host = "r";
+        own.incarnation = 1;
+    }
+
+    static fleet_report report_of(const std::string& host, double demand = 0, std::uint32_t load = 0) {
+        fleet_report report;
+        report.host = host;
+        report.incarnation = 1;
+        if (demand > 0)
+            report.demands = {{"florist", demand}};
+        if (load > 0)
+            report.loads = {{"i-1", load}};
+        return report;
+    }
+
+    region_bulletin ask(const fleet_report& report, time_point now, std::uint64_t next_object = 0) {
+        membership.record_report(report, now);
+        return board.answer({.report = report, .object_source = 7, .next_object = next_object}, own, true, now);
+    }
+
+    /// Both hosts report until the reporter has been one for long enough.
+    time_point take_over() {
+        time_point now = test_start;
+        for (int period = 0; period < 4; ++period) {
+            now += report_period;
+            membership.record_report(report_of("a", 3, 2), now);
+            membership.record_report(report_of("b", 5, 1), now);
+            membership.make_digest(own, now);
+        }
+        return now;
+    }
+
+    fleet_membership membership;
+    crash_register crashes;
+    bulletin_board board{membership, crashes, {.run = 7, .object_limit = 3}};
+    fleet_report own;
+};
+
+std::uint32_t load_in(const region_bulletin& bulletin, const upstream_id& upstream) {
+    for (const auto& [number, in_flight] : bulletin.loads) {
+        if (number == number_of(upstream))
+            return in_flight;
+    }
+    return 0;
+}
+
+} // namespace
+
+// Guards against demand or load of the asking host that counts twice.
+TEST_CASE("a bulletin adds up all hosts but the one that asks") {
+    reporter_fixture host;
+    host.own.demands = {{"florist", 1}};
+    host.own.loads = {{"i-1", 1}};
+    const time_point now = host.take_over();
+    const region_bulletin bulletin = host.ask(host.report_of("a", 4, 3), now + 1s);
+    CHECK(bulletin.reporter == "r");
+    CHECK(bulletin.hears_asker);
+    REQUIRE(bulletin.demands.size() == 1);
+    CHECK(bulletin.demands[0].second.others == Approx(6));
+    CHECK(bulletin.demands[0].second.region_part == Approx(1));
+    CHECK(load_in(bulletin, "i-1") == 2);
+
+    SECTION("also between two sums, when its report is newer than the sums") {
+        const region_bulletin next = host.ask(host.report_of("a", 40, 9), now + 1100ms);
+        CHECK(next.demands[0].second.others == Approx(6));
+        CHECK(load_in(next, "i-1") == 2);
+    }
+}
+
+// Guards against a new reporter that has heard few hosts and lets each of them take most of a rate.
+TEST_CASE("a reporter that has not heard all hosts yet names no demand") {
+    reporter_fixture host;
+    host.membership.make_digest(host.own, test_start + 100ms);
+    const region_bulletin early = host.ask(host.report_of("a", 3), test_start + 200ms);
+    CHECK(early.demands.empty());
+    CHECK_FALSE(host.membership.demand_views(test_start + 200ms));
+    // Nor does it count hosts as silent that had no time to report.
+    CHECK(early.silent.empty());
+    const time_point now = host.take_over();
+    CHECK(host.ask(host.report_of("a", 3), now + 300ms).demands.size() == 1);
+}
+
+// Guards against callers that are sent to dead hosts because a reporter did not say that it no longer hears them.
+TEST_CASE("a bulletin names hosts that have fallen silent and those that leave") {
+    reporter_fixture host;
+    const time_point now = host.take_over();
+    fleet_report leaving = host.report_of("b");
+    leaving.is_leaving = true;
+    host.membership.record_report(leaving, now);
+    CHECK(host.ask(host.report_of("a"), now + 500ms).leaving == std::vector<host_id>{"b"});
+    CHECK(host.ask(host.report_of("a"), now + 3s).silent == std::vector<host_id>{"b"});
+
+    fleet_membership asker = make_membership("a");
+    for (const std::string name : {"r", "a", "b"})
+        asker.announce(make_host(name), test_start);
+    region_bulletin bulletin = host.ask(host.report_of("a"), now + 500ms);
+    asker.record_bulletin(bulletin, now + 500ms, now + 500ms);
+    CHECK(asker.is_heard("b", now + 500ms));
+    CHECK(asker.entry_hosts_for("gulf", now + 500ms).size() == 2); // without the leaving one
+    asker.record_bulletin(host.ask(host.report_of("a"), now + 3s), now + 3s, now + 3s);
+    CHECK_FALSE(asker.is_heard("b", now + 3s));
+    CHECK(asker.is_heard("r", now + 3s));
+}
+
+// Guards against a host that spends by demand while the others, who do not hear it, leave it an equal part.
+TEST_CASE("a host that is not heard through its reporter counts no other host") {
+    fleet_membership asker = make_membership("a");
+    for (const std::string name : {"r", "a", "b"})
+        asker.announce(make_host(name), test_start);
+    region_bulletin bulletin;
+    bulletin.reporter = "r";
+    bulletin.hears_asker = true;
+    asker.record_bulletin(bulletin, test_start + 5s, test_start + 5s);
+    CHECK(asker.heard_peers(test_start + 5s) == 2);
+    CHECK(asker.pool_keepers(test_start + 5s).size() == 3);
+    bulletin.hears_asker = false;
+    asker.record_bulletin(bulletin, test_start + 6s, test_start + 6s);
+    CHECK(asker.heard_peers(test_start + 6s) == 0);
+    CHECK(asker.pool_keepers(test_start + 6s) == std::vector<host_id>{"a"});
+}
+
+TEST_CASE("each object is told once, and from the start after the reporter's restart") {
+    reporter_fixture host;
+    host.board.add_objects({{"i-1", 11}, {"i-2", 12}});
+    const region_bulletin first = host.ask(host.report_of("a"), test_start);
+    REQUIRE(first.new_objects.size() == 2);
+    CHECK(first.new_objects[1].upstream == number_of("i-2"));
+    CHECK(host.ask(host.report_of("a"), test_start, first.next_object).new_objects.empty());
+    host.board.add_objects({{"i-1", 13}, {"i-1", 14}});
+    // The oldest was dropped; one that missed more than is kept gets the rest.
+    CHECK(host.ask(host.report_of("a"), test_start, first.next_object).new_objects.size() == 2);
+    CHECK(host.ask(host.report_of("a"), test_start).new_objects.size() == 3);
+    bulletin_question other_run{.report = host.report_of("a"), .object_source = 6, .next_object = 900};
+    CHECK(host.board.answer(other_run, host.own, true, test_start).new_objects.size() == 3);
+}
+
+// Guards against a region whose hosts each take themselves for the reporter at the start, when none is heard.
+TEST_CASE("hosts that have heard nobody agree on the reporter") {
+    const std::vector<std::string> names{"a", "b", "c", "d"};
+    std::optional<host_id> agreed;
+    for (const std::string& self : names) {
+        fleet_membership membership = make_membership(self);
+        for (const std::string& name : names)
+            membership.announce(make_host(name), test_start);
+        const auto reporter = membership.reporter_of("gulf", {}, test_start + 1s);
+        CHECK(agreed.value_or(*reporter) == *reporter);
+        agreed = reporter;
+    }
+}
+
+// Guards against demand that is left out while a region changes its reporter: shares elsewhere would rise.
+TEST_CASE("digests of two reporters count together until the newer one has all hosts") {
+    fleet_membership fleet = make_membership("a");
+    for (const std::string name : {"d", "e", "f"})
+        fleet.announce(make_host(name, 1, "delta"), test_start);
+    region_digest old;
+    old.region = "delta";
+    old.reporter = "d";
+    old.hosts = {{"d", 1, false, 0, 0ms}, {"e", 1, false, 0, 0ms}, {"f", 1, false, 0, 0ms}};
+    old.demands = {{"florist", 9}};
+    fleet.record_digest(old, test_start);
+    region_digest partial;
+    partial.region = "delta";
+    partial.reporter = "e";
+    partial.hosts = {{"e", 1, false, 0, 0ms}};
+    partial.demands = {{"florist", 3}};
+    fleet.record_digest(partial, test_start + 500ms);
+    CHECK(fleet.reported_demands(test_start + 500ms)["florist"] == Approx(12));
+    partial.hosts.push_back({"f", 1, false, 0, 0ms});
+    partial.demands = {{"florist", 6}};
+    fleet.record_digest(partial, test_start + 1s);
+    CHECK(fleet.reported_demands(test_start + 1s)["florist"] == Approx(6));
+}
--- a/tests/steering/fleet_membership_test.cpp
+++ b/tests/steering/fleet_membership_test.cpp
@@ -147,7 +147,7 @@
     CHECK(fleet.reported_demands(test_start)["florist"] == Approx(6));
     fleet.record_digest(digest_of("d"), test_start);
     CHECK(fleet.reported_demands(test_start)["florist"] == Approx(8));
-    CHECK(fleet.reported_loads(test_start)["i-1"] == Approx(3));
+    CHECK(fleet.reported_loads(test_start)[number_of("i-1")] == Approx(3));
     CHECK(fleet.heard_peers(test_start) == 2);
     // The digest is outdated; so are the reports.
     CHECK(fleet.reported_demands(test_start + 3s).empty());
--- a/tests/steering/load_replay.cpp
+++ b/tests/steering/load_replay.cpp
@@ -320,9 +320,9 @@
         for (const known_object& known : report.new_objects)
             receiver->fleet.find_upstream(known.upstream)->learn_object(known.object, m_now);
         receiver->membership.record_report(report, m_now);
-        std::map<upstream_id, double> totals = receiver->membership.reported_loads(m_now);
+        std::map<upstream_number, double> totals = receiver->membership.reported_loads(m_now);
         for (const auto& [id, upstream] : receiver->fleet.upstreams())
-            upstream->set_others_in_flight(totals[id]);
+            upstream->set_others_in_flight(totals[number_of(id)]);
         receiver->dispatcher.serve_waiting(m_now);
     }
     at(m_now + report_period, [this, &sender] { exchange_reports(sender); });
