Choose reporters among the strongest hosts and make bulletins cheaper

Change: hosts register the cores that they may use; reporters are ranked among the strongest of a region. Ruled out: longer waits alone; a host that waits is without the store's changes meanwhile.

--- a/src/libraries/gateway/fleet_exchange.h
+++ b/src/libraries/gateway/fleet_exchange.h
@@ -19,7 +19,7 @@
 
 struct fleet_exchange_options {
     /// Time for a peer to acknowledge a report; shorter than the report period, so that reports do not pile up.
-    duration report_timeout = std::chrono::milliseconds(450);
+    duration report_timeout = std::chrono::milliseconds(650);
     duration snapshot_timeout = std::chrono::milliseconds(800);
     /// A peer that did not answer is passed over as reporter for this long. Source: the longest cuts that the
     /// deployments name are 12 s; asking a dead one costs a bulletin each time.
--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -48,7 +48,8 @@
             .region = settings.region,
             .failure_domain = settings.failure_domain,
             .caller_address = to_text(settings.listen.callers),
-            .peer_address = to_text(settings.listen.peers)};
+            .peer_address = to_text(settings.listen.peers),
+            .capacity = settings.capacity};
 }
 
 void answer_text(http_exchange& exchange, unsigned status, std::string_view type, std::string_view body) {
--- a/src/libraries/gateway/gateway_settings.cpp
+++ b/src/libraries/gateway/gateway_settings.cpp
@@ -51,6 +51,8 @@
     settings.host = reader.text("host", presence::required);
     settings.region = reader.text("region", presence::required);
     settings.failure_domain = reader.text("failure_domain", presence::required);
+    constexpr number_range sensible_capacity{.minimum = 0.001, .maximum = 1024};
+    settings.capacity = reader.computed_number("capacity", presence::optional, sensible_capacity, settings.capacity);
     reader.object("listen", presence::required,
                   [&](object_reader& listen) { settings.listen = read_addresses(listen); });
     settings.store = read_endpoint(reader, "store", presence::required);
--- a/src/libraries/gateway/gateway_settings.h
+++ b/src/libraries/gateway/gateway_settings.h
@@ -37,6 +37,7 @@
     host_id host;
     region_id region;
     failure_domain_id failure_domain;
+    double capacity = 1; ///< Processor cores that the host may use.
     gateway_addresses listen;
     ip_endpoint store;
     std::map<failure_domain_id, region_id> regions; ///< Region of each failure domain.
--- a/src/libraries/gateway/host_record.cpp
+++ b/src/libraries/gateway/host_record.cpp
@@ -2,12 +2,16 @@
 
 #include "requests/record_codec.h"
 
+#include <cmath>
+
 namespace ragworthinge {
 
 namespace {
 
 constexpr std::string_view record_prefix = "ragworthinge/hosts/";
-constexpr std::string_view record_version = "1";
+constexpr std::string_view record_version = "2";
+/// Cores are written in thousandths.
+constexpr double capacity_scale = 1000;
 
 } // namespace
 
@@ -25,6 +29,7 @@
     record_writer writer;
     writer.add(record_version).add(host.name).add_number(static_cast<std::int64_t>(host.incarnation));
     writer.add(host.region).add(host.failure_domain).add(host.caller_address).add(host.peer_address);
+    writer.add_number(std::llround(host.capacity * capacity_scale));
     return writer.text();
 }
 
@@ -39,6 +44,8 @@
     BOOST_OUTCOME_TRY(host.failure_domain, reader.read());
     BOOST_OUTCOME_TRY(host.caller_address, reader.read());
     BOOST_OUTCOME_TRY(host.peer_address, reader.read());
+    BOOST_OUTCOME_TRY(const auto capacity, reader.read_number());
+    host.capacity = static_cast<double>(capacity) / capacity_scale;
     BOOST_OUTCOME_TRYV(reader.finish());
     return host;
 }
--- a/src/libraries/steering/bulletin_board.cpp
+++ b/src/libraries/steering/bulletin_board.cpp
@@ -21,6 +21,8 @@
     m_sums = {.demands = views.value_or(std::map<account_id, demand_view>()),
               .loads = m_membership.reported_loads(now),
               .reports = m_membership.counted_reports(now),
+              .silent = m_membership.silent_hosts(now),
+              .leaving = m_membership.leaving_hosts(),
               .made_at = now,
               .knows_demand = views.has_value()};
     for (const account_demand& demand : own.demands)
@@ -37,18 +39,18 @@
     bulletin.reporter = m_membership.options().self;
     bulletin.reporter_run = m_options.run;
     bulletin.hears_asker = is_reporter && m_membership.is_heard(asker, now);
-    bulletin.silent = m_membership.silent_hosts(now);
-    bulletin.leaving = m_membership.leaving_hosts();
+    bulletin.silent = m_sums.silent;
+    bulletin.leaving = m_sums.leaving;
 
     // What the sums contain of the asking host may be its previous report.
     const auto counted = m_sums.reports.find(asker);
     std::map<account_id, double> own_demands;
-    std::map<upstream_number, double> loads = m_sums.loads;
+    std::map<upstream_number, std::uint32_t> own_loads;
     if (counted != m_sums.reports.end()) {
         for (const account_demand& demand : counted->second.demands)
             own_demands[demand.account] = demand.requests_per_second;
         for (const upstream_load& load : counted->second.loads)
-            loads[number_of(load.upstream)] -= load.in_flight;
+            own_loads[number_of(load.upstream)] += load.in_flight;
     }
     for (const account_demand& demand : question.report.demands) {
         // Without all reports the sums are too low and the asking host would take too large a part.
@@ -58,9 +60,12 @@
         view.others = std::max(0.0, view.others - own_demands[demand.account]);
         bulletin.demands.emplace_back(demand.account, view);
     }
-    for (const auto& [upstream, in_flight] : loads) {
-        if (in_flight >= 1)
-            bulletin.loads.emplace_back(upstream, static_cast<std::uint32_t>(std::lround(in_flight)));
+    bulletin.loads.reserve(m_sums.loads.size());
+    for (const auto& [upstream, in_flight] : m_sums.loads) {
+        const auto own_load = own_loads.find(upstream);
+        const double others = in_flight - (own_load == own_loads.end() ? 0 : own_load->second);
+        if (others >= 1)
+            bulletin.loads.emplace_back(upstream, static_cast<std::uint32_t>(std::lround(others)));
     }
 
     const bool continues = question.object_source == m_options.run;
--- a/src/libraries/steering/bulletin_board.h
+++ b/src/libraries/steering/bulletin_board.h
@@ -45,6 +45,8 @@
         std::map<account_id, demand_view> demands; ///< `others` includes every host of the region.
         std::map<upstream_number, double> loads;
         std::map<host_id, fleet_report> reports; ///< Direct reports that the sums contain.
+        std::vector<host_id> silent;
+        std::vector<host_id> leaving;
         time_point made_at;
         bool knows_demand = false;
     };
--- a/src/libraries/steering/fleet_change.h
+++ b/src/libraries/steering/fleet_change.h
@@ -30,6 +30,7 @@
     failure_domain_id failure_domain;
     std::string caller_address; ///< "IP:PORT" for callers.
     std::string peer_address;   ///< "IP:PORT" for messages between hosts.
+    double capacity = 1;        ///< Processor cores that it may use.
 };
 
 struct upstream_announced {
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -143,12 +143,20 @@
 std::optional<host_id> fleet_membership::reporter_of(const region_id& region, const std::set<host_id>& unreachable,
                                                      time_point now) const {
     std::vector<host_id> candidates;
+    double capacity = 0;
     for (const auto& [name, known] : m_members) {
         const bool is_self = name == m_options.self;
         const bool leaves = is_self ? m_leaving : known.report.is_leaving;
         if (known.host.region != region || unreachable.contains(name) || leaves)
             continue;
-        if (is_self || is_heard(known, now) || (!known.withdrawn_at && !is_silent(known, now)))
+        if (!is_self && !is_heard(known, now) && (known.withdrawn_at || is_silent(known, now)))
+            continue;
+        // Answering a region takes a good part of a weak host's processor, and its callers would wait.
+        if (known.host.capacity > capacity * m_options.capacity_step)
+            candidates.clear();
+        if (candidates.empty())
+            capacity = known.host.capacity;
+        if (known.host.capacity * m_options.capacity_step >= capacity)
             candidates.push_back(name);
     }
     if (region == m_options.region && !m_members.contains(m_options.self) && !m_leaving)
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -33,6 +33,8 @@
     /// A registered host that appeared within this time may be unknown to the reporter, so its bulletin says nothing of
     /// it. Source: the reporter asks the store every 0.2 s, and an answer may take 0.7 s.
     duration newcomer_time = std::chrono::milliseconds(1500);
+    /// Hosts whose capacities differ by less than this factor are ranked alike as reporters.
+    double capacity_step = 1.5;
     /// A host that has become its region's reporter has a report of each host after this time: two report periods.
     duration takeover_time = std::chrono::milliseconds(1700);
     /// Digests of which the other regions know one: each is on its way for up to two report periods, with the bulletin
@@ -80,9 +82,9 @@
     /// Whether the fleet is too large for reports from each host to each other.
     bool uses_reporters() const { return size() > m_options.direct_fleet_size; }
 
-    /// The host that adds up the reports of its region: the first in everyone's ranking of those that stay and are
-    /// heard, or are registered and have not fallen silent. Hosts that could not be reached are passed over unless that
-    /// leaves none: after a cut between regions one must be tried again.
+    /// The host that adds up the reports of its region: the first in everyone's ranking of the strongest that stay and
+    /// are heard, or are registered and have not fallen silent. Hosts that could not be reached are passed over unless
+    /// that leaves none: after a cut between regions one must be tried again.
     std::optional<host_id> reporter_of(const region_id& region, const std::set<host_id>& unreachable,
                                        time_point now) const;
 
--- a/tests/gateway/codecs_test.cpp
+++ b/tests/gateway/codecs_test.cpp
@@ -142,9 +142,11 @@
 }
 
 TEST_CASE("a host's record survives its text form") {
-    const entry_host host = make_host("front-1", 77, "delta");
+    entry_host host = make_host("front-1", 77, "delta");
+    host.capacity = 0.25;
     const auto read = read_host_record(write_host_record(host));
     REQUIRE(read);
+    CHECK(read.value().capacity == Approx(0.25));
     CHECK(read.value().name == "front-1");
     CHECK(read.value().incarnation == 77);
     CHECK(read.value().region == "delta");
--- a/tests/steering/bulletin_board_test.cpp
+++ b/tests/steering/bulletin_board_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <algorithm>
+#include <map>
 
 using namespace ragworthinge;
 using namespace std::chrono_literals;
@@ -108,17 +109,19 @@
     fleet_report leaving = host.report_of("b");
     leaving.is_leaving = true;
     host.membership.record_report(leaving, now);
-    CHECK(host.ask(host.report_of("a"), now + 500ms).leaving == std::vector<host_id>{"b"});
-    CHECK(host.ask(host.report_of("a"), now + 3s).silent == std::vector<host_id>{"b"});
+    const region_bulletin early = host.ask(host.report_of("a"), now + 500ms);
+    const region_bulletin late = host.ask(host.report_of("a"), now + 3s);
+    CHECK(early.leaving == std::vector<host_id>{"b"});
+    CHECK(early.silent.empty());
+    CHECK(late.silent == std::vector<host_id>{"b"});
 
     fleet_membership asker = make_membership("a");
     for (const std::string name : {"r", "a", "b"})
         asker.announce(make_host(name), test_start);
-    region_bulletin bulletin = host.ask(host.report_of("a"), now + 500ms);
-    asker.record_bulletin(bulletin, now + 500ms, now + 500ms);
+    asker.record_bulletin(early, now + 500ms, now + 500ms);
     CHECK(asker.is_heard("b", now + 500ms));
     CHECK(asker.entry_hosts_for("gulf", now + 500ms).size() == 2); // without the leaving one
-    asker.record_bulletin(host.ask(host.report_of("a"), now + 3s), now + 3s, now + 3s);
+    asker.record_bulletin(late, now + 3s, now + 3s);
     CHECK_FALSE(asker.is_heard("b", now + 3s));
     CHECK(asker.is_heard("r", now + 3s));
 }
@@ -169,6 +172,25 @@
     }
 }
 
+// Guards against a reporter that is too weak for its region: its answers came late and hosts gave it up in turn.
+TEST_CASE("the reporter is one of the strongest hosts") {
+    fleet_membership membership = make_membership("a");
+    const std::map<std::string, double> capacities{{"a", 0.1}, {"b", 0.5}, {"c", 0.1}, {"d", 0.45}, {"e", 0.2}};
+    for (const auto& [name, capacity] : capacities) {
+        entry_host host = make_host(name);
+        host.capacity = capacity;
+        membership.announce(host, test_start);
+    }
+    const auto first = membership.reporter_of("gulf", {}, test_start);
+    REQUIRE(first);
+    CHECK(capacities.at(*first) > 0.4);
+    const auto second = membership.reporter_of("gulf", {*first}, test_start);
+    REQUIRE(second);
+    CHECK(capacities.at(*second) > 0.4);
+    CHECK(second != first);
+    CHECK(membership.reporter_of("gulf", {"b", "d"}, test_start) == host_id("e"));
+}
+
 // Guards against demand that is left out while a region changes its reporter: shares elsewhere would rise.
 TEST_CASE("digests of two reporters count together until the newer one has all hosts") {
     fleet_membership fleet = make_membership("a");
