Serve accounts within their rate soon after a restart of all hosts

Restarted hosts knew only the entries of the earlier runs, so reports of the new ones were refused until the store's next change; unheard, each kept to an equal part, of which a small account's burst is less than one request, and a pool asked too early was avoided for seconds. Change: runs are numbered by their start, and a message of a later run counts before its entry is read; a started host reports every 0.2 s until it hears others; a pool is avoided for 0.4 s at most; a bulletin is believed for hosts whose entries its reporter has read, instead of those known for 1.5 s. Ruled out: a token per host at the start (195 hosts would spend 195 at once).

--- a/src/libraries/gateway/fleet_follower.cpp
+++ b/src/libraries/gateway/fleet_follower.cpp
@@ -330,7 +330,7 @@
     }
     const change_effect effect = m_fleet.apply(change, now);
     if (const auto* host = std::get_if<host_announced>(&change))
-        m_membership.announce(host->host, now);
+        m_membership.announce(host->host, now, revision);
     if (const auto* host = std::get_if<host_withdrawn>(&change))
         m_membership.withdraw(host->name, now);
     if (effect != change_effect::unchanged)
--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -24,10 +24,14 @@
 /// Store key of the secret with which hosts authenticate their messages.
 const std::string secret_key = std::string(own_key_prefix) + "peer-secret";
 
+/// Later runs of a host have higher numbers, unless its clock was set back by more than the time between the starts;
+/// then others wait for its entry in the store. The lowest bits tell apart runs of one millisecond.
 incarnation draw_incarnation() {
+    constexpr unsigned random_bits = 20;
     std::random_device source;
-    // Positive, since records hold signed numbers.
-    return ((static_cast<incarnation>(source()) << 31U) ^ source()) & 0x7fffffffffffffffULL;
+    const auto since_epoch = std::chrono::system_clock::now().time_since_epoch();
+    const auto milliseconds = std::chrono::duration_cast<std::chrono::milliseconds>(since_epoch).count();
+    return (static_cast<incarnation>(milliseconds) << random_bits) | (source() & ((1U << random_bits) - 1));
 }
 
 std::string draw_secret() {
@@ -216,7 +220,7 @@
         if (!secret) {
             m_log.write(log_level::debug, "peer_secret_unknown", field("cause", secret.error().message));
         } else if (const auto opened = m_exchange.open(to_network(m_settings.listen.peers), secret.value()); opened) {
-            m_exchange.send_reports(boot_time_now());
+            announce_start();
             return;
         } else {
             m_log.write(log_level::error, "peer_listener_failed", field("cause", opened.error().message));
@@ -225,6 +229,16 @@
     }
 }
 
+void gateway_process::announce_start() {
+    // After a restart of all hosts none may spend more than an equal part until it hears the others.
+    const time_point started = boot_time_now();
+    do {
+        m_exchange.send_reports(boot_time_now());
+        m_runtime.sleep_for(m_options.first_report_period);
+    } while (!m_is_stopping && m_membership.heard_peers(boot_time_now()) == 0 &&
+             boot_time_now() - started < m_options.first_report_time);
+}
+
 result<std::string> gateway_process::fetch_fleet_secret() {
     BOOST_OUTCOME_TRY(const auto known, m_store->get(secret_key));
     if (known)
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -28,6 +28,9 @@
 struct gateway_process_options {
     /// Reports carry demand and load; both move within a second.
     duration report_period = std::chrono::milliseconds(800);
+    /// A started host reports this often until it hears others, for this long at most: then it is alone.
+    duration first_report_period = std::chrono::milliseconds(200);
+    duration first_report_time = std::chrono::seconds(3);
     /// Waiting requests are looked at this often besides each freed slot, and new reports are added up.
     duration line_period = std::chrono::milliseconds(50);
     /// In a fleet with reporters, reports are added up this often at most. They are up to two report periods old
@@ -65,6 +68,7 @@
     void answer_metrics(http_exchange& exchange);
     void wait_for_signals();
     void open_exchange();
+    void announce_start();
     result<std::string> fetch_fleet_secret();
     fleet_report make_report();
     void take_report(fleet_report report);
--- a/src/libraries/steering/account_limiter.cpp
+++ b/src/libraries/steering/account_limiter.cpp
@@ -90,7 +90,8 @@
 void account_limiter::take_granted(const account_id& account, const pool_answer& answer, time_point now) {
     account_state& state = m_accounts[account];
     if (answer.tokens == 0) {
-        state.pool_paused_until = now + std::max(answer.next_token, m_options.shortest_pool_pause);
+        state.pool_paused_until =
+            now + std::clamp(answer.next_token, m_options.shortest_pool_pause, m_options.longest_pool_pause);
         return;
     }
     state.own.tokens += answer.tokens - 1;
--- a/src/libraries/steering/account_limiter.h
+++ b/src/libraries/steering/account_limiter.h
@@ -23,6 +23,8 @@
     /// After a refusal the pool is not asked again for at least this long, so that an account far over its rate does
     /// not cause a message per request.
     duration shortest_pool_pause = std::chrono::milliseconds(50);
+    /// And for no longer than this: another host may keep the pool by then, or the same one with a larger part of it.
+    duration longest_pool_pause = std::chrono::milliseconds(400);
 };
 
 /// Answer of the host that keeps an account's pool.
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -7,14 +7,21 @@
 
 namespace ragworthinge {
 
-void fleet_membership::announce(const entry_host& host, time_point now) {
+void fleet_membership::announce(const entry_host& host, time_point now, std::int64_t revision) {
     const auto [entry, created] = m_members.try_emplace(host.name);
     member& known = entry->second;
-    const bool restarted = created || known.host.incarnation != host.incarnation;
-    known.host = host;
+    known.announced_revision = revision;
     known.withdrawn_at.reset();
-    if (!restarted)
+    // Messages of a later run may arrive before its entry.
+    if (!created && known.host.incarnation > host.incarnation && is_heard(known, now))
         return;
+    const bool restarted = created || known.host.incarnation != host.incarnation;
+    known.host = host;
+    if (restarted)
+        begin_run(known, now);
+}
+
+void fleet_membership::begin_run(member& known, time_point now) {
     known.announced_at = now;
     known.reported_at.reset();
     known.relayed_at.reset();
@@ -22,6 +29,16 @@
     known.report = {};
 }
 
+bool fleet_membership::accepts_run(member& known, incarnation run, time_point now) {
+    if (run < known.host.incarnation)
+        return false;
+    if (run > known.host.incarnation) {
+        known.host.incarnation = run;
+        begin_run(known, now);
+    }
+    return true;
+}
+
 void fleet_membership::withdraw(const host_id& name, time_point now) {
     if (const auto found = m_members.find(name); found != m_members.end())
         found->second.withdrawn_at = now;
@@ -37,7 +54,7 @@
 
 bool fleet_membership::record_report(fleet_report report, time_point now) {
     const auto found = m_members.find(report.host);
-    if (found == m_members.end() || found->second.host.incarnation != report.incarnation)
+    if (found == m_members.end() || !accepts_run(found->second, report.incarnation, now))
         return false;
     found->second.reported_at = now;
     found->second.has_fallen_silent = false;
@@ -50,7 +67,7 @@
         return;
     for (const relayed_host& relayed : digest.hosts) {
         const auto found = m_members.find(relayed.name);
-        if (found == m_members.end() || found->second.host.incarnation != relayed.incarnation)
+        if (found == m_members.end() || !accepts_run(found->second, relayed.incarnation, now))
             continue;
         member& known = found->second;
         const time_point relayed_at = now - relayed.age;
@@ -86,9 +103,8 @@
             known.has_fallen_silent = true;
             continue;
         }
-        const bool is_newcomer =
-            !known.reported_at && !known.relayed_at && now - known.announced_at < m_options.newcomer_time;
-        if (is_newcomer && !is_reporter)
+        // The reporter can't say anything of a host whose entry it has not read.
+        if (known.announced_revision > bulletin.store_revision && !is_reporter)
             continue;
         known.relayed_at = std::max(known.relayed_at.value_or(asked_at), asked_at);
         known.has_fallen_silent = false;
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -30,9 +30,6 @@
     /// A host that is known through a reporter is heard for this much longer: its report waits up to one report period
     /// for the next digest or bulletin. Source: the report period of 0.8 s.
     duration relay_allowance = std::chrono::milliseconds(800);
-    /// A registered host that appeared within this time may be unknown to the reporter, so its bulletin says nothing of
-    /// it. Source: the reporter asks the store every 0.2 s, and an answer may take 0.7 s.
-    duration newcomer_time = std::chrono::milliseconds(1500);
     /// Hosts whose capacities differ by less than this factor are ranked alike as reporters.
     double capacity_step = 1.5;
     /// A host that has become its region's reporter has a report of each host after this time: two report periods.
@@ -52,7 +49,8 @@
 
     const fleet_membership_options& options() const noexcept { return m_options; }
 
-    void announce(const entry_host& host, time_point now);
+    /// Takes a host's entry; `revision` is the store's at its change.
+    void announce(const entry_host& host, time_point now, std::int64_t revision = 0);
 
     /// The host's entry ended. While its reports arrive it stays a member: leases also end when the store was away.
     void withdraw(const host_id& name, time_point now);
@@ -60,7 +58,8 @@
     /// Forgets withdrawn hosts that are silent for longer than the reservation.
     void forget_old(time_point now);
 
-    /// Takes a report; returns false if it is older than one already taken or comes from an unknown run.
+    /// Takes a report; returns false if it comes from an unknown host or an earlier run. A later run counts at once:
+    /// after a restart of all hosts their entries in the store are still those of the earlier runs.
     bool record_report(fleet_report report, time_point now);
 
     /// This host stops: it names itself to no caller.
@@ -146,6 +145,7 @@
     struct member {
         entry_host host;
         time_point announced_at;
+        std::int64_t announced_revision = 0;
         std::optional<time_point> reported_at; ///< By the host itself.
         std::optional<time_point> relayed_at;  ///< The same as the reporter of its region had it.
         std::optional<time_point> withdrawn_at;
@@ -170,6 +170,10 @@
 
     /// Whether each other region that sends digests has a reporter with all reports.
     bool knows_foreign_demand(time_point now) const;
+    static void begin_run(member& known, time_point now);
+
+    /// Whether the message comes from the member's known run, or from a later one, which becomes the known one.
+    static bool accepts_run(member& known, incarnation run, time_point now);
     bool takes_callers(const member& candidate, time_point now) const;
     bool is_heard(const member& known, time_point now) const;
     bool is_reporting(const member& known, time_point now) const;
--- a/tests/steering/account_limiter_test.cpp
+++ b/tests/steering/account_limiter_test.cpp
@@ -91,11 +91,32 @@
         }
     }
 
+    /// All processes start again. They read the entries of the earlier runs, and the new ones only after the lag.
+    void restart_all(incarnation run, duration lag) {
+        for (std::size_t index = 0; index < m_hosts.size(); ++index) {
+            auto fresh = std::make_unique<host>(m_hosts[index]->name, m_hosts[index]->region);
+            fresh->run = run;
+            m_hosts[index] = std::move(fresh);
+        }
+        for (auto& each : m_hosts) {
+            for (auto& other : m_hosts)
+                each->membership.announce(make_host(other->name, run - 1, other->region), m_now, 1);
+        }
+        m_entries_at = m_now + lag;
+    }
+
     /// Lets time pass in steps of 10 ms; each host gets arrivals at its rate per second.
     void run(duration length, const std::vector<double>& rates) {
         constexpr duration step = 10ms;
         for (duration passed{0}; passed < length; passed += step) {
             m_now += step;
+            if (m_entries_at && m_now >= *m_entries_at) {
+                m_entries_at.reset();
+                for (auto& each : m_hosts) {
+                    for (auto& other : m_hosts)
+                        each->membership.announce(make_host(other->name, other->run, other->region), m_now, 2);
+                }
+            }
             exchange_reports();
             for (std::size_t index = 0; index < m_hosts.size(); ++index) {
                 if (m_hosts[index]->is_frozen)
@@ -222,8 +243,10 @@
             reporter->membership.record_report(report, m_now);
             bulletin_question question;
             question.report = report;
-            sender.membership.record_bulletin(
-                reporter->board.answer(question, reporter->last_report, is_reporter(*reporter), m_now), m_now, m_now);
+            region_bulletin bulletin =
+                reporter->board.answer(question, reporter->last_report, is_reporter(*reporter), m_now);
+            bulletin.store_revision = m_entries_at ? 1 : 2;
+            sender.membership.record_bulletin(std::move(bulletin), m_now, m_now);
             return;
         }
     }
@@ -256,6 +279,7 @@
     steering_table m_table;
     std::mt19937 m_random;
     time_point m_now = test_start;
+    std::optional<time_point> m_entries_at; ///< When the entries of the new runs become known.
     std::vector<std::unique_ptr<host>> m_hosts;
     std::deque<time_point> m_admitted;
 };
@@ -469,3 +493,37 @@
     for (int count = 0; count < 1000; ++count)
         CHECK(limiter.try_take(account, test_start));
 }
+
+// Guards against refusals within the rate for seconds after all hosts lost power: none heard the others, since the
+// store still had the entries of their earlier runs, and an equal part of a small account's burst is less than one
+// request.
+TEST_CASE("accounts are served soon after a restart of all hosts") {
+    for (const std::size_t hosts : {12, 60}) {
+        limiter_fleet fleet(hosts, 30, 30);
+        const std::vector<double> rates(hosts, 20.0 / static_cast<double>(hosts));
+        fleet.run(8s, rates);
+        fleet.restart_all(2, 900ms);
+        fleet.run(1s, rates);
+        fleet.asked = fleet.refused = 0;
+        fleet.run(3s, rates);
+        INFO(hosts << " hosts: refused " << fleet.refused << " of " << fleet.asked);
+        CHECK(static_cast<double>(fleet.refused) <= 0.1 * static_cast<double>(fleet.asked));
+        fleet.run(4s, rates);
+        CHECK(static_cast<double>(fleet.most_in_window()) <= limit_of_window(fleet.account()));
+    }
+}
+
+// Guards against a restart of all hosts that lets an account far over its rate spend a burst at each of them.
+TEST_CASE("restarts of all hosts stay within the limit in a fleet with reporters") {
+    constexpr std::size_t hosts = 60;
+    for (const double rate : {30.0, 300.0}) {
+        limiter_fleet fleet(hosts, rate, rate);
+        const std::vector<double> rates(hosts, rate * 4 / hosts);
+        fleet.run(8s, rates);
+        fleet.restart_all(2, 900ms);
+        fleet.run(6s, rates);
+        fleet.restart_all(3, 300ms);
+        fleet.run(8s, rates);
+        CHECK(static_cast<double>(fleet.most_in_window()) <= limit_of_window(fleet.account()) * 1.1 + 20);
+    }
+}
