Test the exchange of reports and bulletins with real messages

Hosts hear each other through their reporter and through the next one when it stops answering; malformed messages of each kind change nothing.

--- /dev/null
+++ b/tests/gateway/fleet_exchange_test.cpp
@@ -0,0 +1,167 @@
+#include "gateway/fleet_exchange.h"
+
+#include "base/boot_clock.h"
+#include "net/fiber_runtime.h"
+#include "steering/bulletin_board.h"
+#include "steering/steering_fixture.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+using namespace ragworthinge;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint16_t first_port = 18710;
+constexpr const char* secret = "secret";
+
+/// One host of a fleet that has reporters, with real messages on loopback.
+class exchange_host {
+public:
+    exchange_host(fiber_runtime& runtime, const std::string& name, std::uint16_t port, incarnation run = 1)
+        : address{"127.0.0.1", port}, membership({.self = name,
+                                                  .region = "gulf",
+                                                  .failure_domain = "gulf-a",
+                                                  .silence_limit = 600ms,
+                                                  .first_report_limit = 600ms,
+                                                  .relay_allowance = 300ms,
+                                                  .direct_fleet_size = 1}),
+          board(membership, crashes, {.run = run, .sum_period = 10ms}), log(name, log_level::off),
+          exchange(runtime, membership, log, {.report_timeout = 150ms, .unreachable_time = 500ms}) {
+        report.host = name;
+        report.incarnation = run;
+        exchange.on_report_wanted([this] { return report; });
+        exchange.on_report([this](fleet_report one) { membership.record_report(std::move(one), boot_time_now()); });
+        exchange.on_bulletin_wanted([this](const bulletin_question& question) {
+            return board.answer(question, report, exchange.is_reporter(boot_time_now()), boot_time_now());
+        });
+        exchange.on_bulletin([this](region_bulletin bulletin, time_point asked_at) {
+            ++bulletins;
+            membership.record_bulletin(std::move(bulletin), asked_at, boot_time_now());
+        });
+        REQUIRE(exchange.open(address, secret));
+    }
+
+    network_endpoint address;
+    fleet_report report;
+    fleet_membership membership;
+    crash_register crashes;
+    bulletin_board board;
+    event_log log;
+    fleet_exchange exchange;
+    int bulletins = 0;
+};
+
+struct exchange_fleet {
+    exchange_fleet() {
+        for (const std::string name : {"a", "b", "c"}) {
+            const auto port = static_cast<std::uint16_t>(first_port + hosts.size());
+            hosts.push_back(std::make_unique<exchange_host>(runtime, name, port));
+        }
+        for (auto& each : hosts) {
+            for (auto& other : hosts) {
+                entry_host entry = make_host(other->report.host);
+                entry.peer_address = "127.0.0.1:" + std::to_string(other->address.port);
+                each->membership.announce(entry, boot_time_now());
+            }
+        }
+    }
+
+    template <class Body>
+    void run(Body&& body) {
+        runtime.spawn([&] {
+            body();
+            runtime.stop();
+        });
+        runtime.run();
+    }
+
+    void exchange_for(duration time) {
+        const time_point end = boot_time_now() + time;
+        while (boot_time_now() < end) {
+            for (auto& each : hosts) {
+                if (each->report.host != silent_host)
+                    each->exchange.send_reports(boot_time_now());
+            }
+            runtime.sleep_for(100ms);
+        }
+    }
+
+    std::size_t reporters() const {
+        return static_cast<std::size_t>(std::count_if(hosts.begin(), hosts.end(), [&](const auto& each) {
+            return each->report.host != silent_host && each->exchange.is_reporter(boot_time_now());
+        }));
+    }
+
+    exchange_host& reporter() {
+        return **std::find_if(hosts.begin(), hosts.end(),
+                              [](const auto& each) { return each->exchange.is_reporter(boot_time_now()); });
+    }
+
+    fiber_runtime runtime;
+    std::vector<std::unique_ptr<exchange_host>> hosts;
+    std::string silent_host; ///< Sends nothing.
+};
+
+} // namespace
+
+// Guards against hosts of a region that do not hear each other because they only talk to the reporter.
+TEST_CASE("hosts hear each other through their reporter, and through the next one when it dies") {
+    exchange_fleet fleet;
+    fleet.run([&] {
+        fleet.exchange_for(500ms);
+        CHECK(fleet.reporters() == 1);
+        exchange_host& first = fleet.reporter();
+        for (auto& each : fleet.hosts) {
+            CHECK(each->membership.heard_peers(boot_time_now()) == 2);
+            // Nobody sends to all: a reporter asks nobody, the others ask it.
+            CHECK((each->bulletins > 0) == (each.get() != &first));
+        }
+
+        // It answers no more: its messages are malformed to it.
+        fleet.silent_host = first.report.host;
+        first.exchange.on_bulletin_wanted([&](const bulletin_question&) {
+            fleet.runtime.sleep_for(400ms);
+            return region_bulletin();
+        });
+        fleet.exchange_for(1500ms);
+        CHECK(fleet.reporters() == 1);
+        for (auto& each : fleet.hosts) {
+            if (each.get() == &first)
+                continue;
+            CHECK(each->membership.heard_peers(boot_time_now()) == 1);
+            CHECK_FALSE(each->membership.is_heard(first.report.host, boot_time_now()));
+        }
+    });
+}
+
+// Guards against one malformed message that ends a process or changes what it believes.
+TEST_CASE("malformed messages between hosts change nothing") {
+    exchange_fleet fleet;
+    fleet.run([&] {
+        auto stranger = peer_bus::open(fleet.runtime, {.listen = {"127.0.0.1", first_port + 9}, .fleet_secret = secret},
+                                       [](std::string_view) { return std::string(); })
+                            .value();
+        exchange_host& target = *fleet.hosts.front();
+        fleet.exchange_for(300ms);
+        const std::size_t heard = target.membership.heard_peers(boot_time_now());
+        std::vector<std::string> messages{
+            "", "R", "B", "D", "S", "T", "X", std::string(1, '\0'), std::string(70'000, 'B')};
+        for (const char kind : {'R', 'B', 'D', 'T'}) {
+            messages.push_back(std::string(1, kind) + "1:1,999999999999:x,");
+            messages.push_back(std::string(1, kind) + "-1:,");
+            messages.push_back(std::string(1, kind) + "1:1,1:2,1:3,20:99999999999999999999,");
+            messages.push_back(std::string(1, kind) + std::string(1000, '\xff'));
+        }
+        for (const std::string& message : messages)
+            static_cast<void>(stranger->request(target.address, message, 100ms));
+        CHECK(target.membership.heard_peers(boot_time_now()) == heard);
+        fleet.exchange_for(300ms);
+        CHECK(target.membership.heard_peers(boot_time_now()) == 2);
+    });
+}
