Hold requests for a moment while a started host reads its configuration

Change: such a request is held for up to 0.4 s, then refused as before. Ruled out: listening later; callers would wait a second for a new connection. The test failed before (503 at once).

--- a/src/libraries/gateway/request_gateway.cpp
+++ b/src/libraries/gateway/request_gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/boot_clock.h"
 #include "base/http_status.h"
 #include "net/fiber_event.h"
+#include "net/fiber_runtime.h"
 
 #include <algorithm>
 #include <array>
@@ -87,6 +88,11 @@
     --m_under_way;
 }
 
+void request_gateway::wait_for_configuration(const carried_request& request) {
+    while (m_parts.fleet.table() == nullptr && boot_time_now() - request.arrived_at < m_options.start_hold)
+        m_parts.runtime.sleep_for(m_options.start_check_period);
+}
+
 bool request_gateway::admit(http_exchange& exchange, carried_request& request) {
     auto caller = read_caller_request(exchange.request(), m_parts.dialect);
     if (!caller) {
@@ -94,6 +100,7 @@
         return false;
     }
     request.caller = std::move(caller).value();
+    wait_for_configuration(request);
     request.table = m_parts.fleet.table();
     if (request.table == nullptr) {
         answer_refusal(exchange, request, http_status::service_unavailable, "no configuration is known yet",
--- a/src/libraries/gateway/request_gateway.h
+++ b/src/libraries/gateway/request_gateway.h
@@ -16,9 +16,15 @@
 
 namespace ragworthinge {
 
+class fiber_runtime;
+
 struct request_gateway_options {
     /// Bytes of callers' bodies that are held at the same time. A fifth of the smallest host's memory, 160 MB.
     std::size_t body_memory = 32UL * 1024 * 1024;
+    /// Longest time that a request is held while no configuration is known. A started host reads it within about 0.3 s,
+    /// and callers give up a request that is not answered after a third of their time, 0.5 s at the shortest.
+    duration start_hold = std::chrono::milliseconds(400);
+    duration start_check_period = std::chrono::milliseconds(20);
     /// Retry-After while no configuration is known.
     std::chrono::milliseconds start_delay{500};
     /// Connection attempts beyond the attempts of the route, since nothing is sent in them.
@@ -27,6 +33,7 @@
 
 /// Parts of the host that requests use.
 struct request_gateway_parts {
+    fiber_runtime& runtime;
     fleet_state& fleet;
     fleet_membership& membership;
     request_dispatcher& dispatcher;
@@ -62,6 +69,7 @@
     struct carried_request;
 
     bool admit(http_exchange& exchange, carried_request& request);
+    void wait_for_configuration(const carried_request& request);
     bool admit_account(http_exchange& exchange, carried_request& request);
     bool take_token(carried_request& request);
     bool read_body(http_exchange& exchange, carried_request& request);
--- a/tests/gateway/request_gateway_test.cpp
+++ b/tests/gateway/request_gateway_test.cpp
@@ -345,11 +345,48 @@
     });
 }
 
+// Guards against refusals in the moment after a start: 334 callers were refused within a second of all hosts' restart.
+TEST_CASE("a request that arrives before the configuration is held for a moment") {
+    gateway_fixture host;
+    host.add_upstream("one", answer_always(200, "x"));
+    host.run([&] {
+        fleet_state late = make_fleet();
+        request_gateway early({.runtime = host.runtime,
+                               .fleet = late,
+                               .membership = host.membership,
+                               .dispatcher = host.dispatcher,
+                               .limiter = host.limiter,
+                               .retries = host.retries,
+                               .crashes = host.crashes,
+                               .exchange = host.exchange,
+                               .client = host.client,
+                               .dialect = test_dialect,
+                               .log = host.log,
+                               .counters = host.counters});
+        auto server = http_server::listen(host.runtime, {.address = "127.0.0.1"}, [&](http_exchange& one) {
+                          early.handle(one);
+                      }).value();
+        std::swap(host.server, server);
+        host.runtime.spawn([&] {
+            host.runtime.sleep_for(150ms);
+            late.apply(configuration_submitted{host.configuration}, boot_time_now());
+        });
+        const time_point started = monotonic_clock::now();
+        CHECK(host.send(host.make_request()).status == 200);
+        CHECK(monotonic_clock::now() - started >= 150ms);
+        CHECK(monotonic_clock::now() - started < 400ms);
+        std::swap(host.server, server);
+        // The handler ends after its caller has the answer, and before this gateway.
+        host.runtime.sleep_for(50ms);
+    });
+}
+
 TEST_CASE("a host without a configuration refuses everything as not run") {
     gateway_fixture host;
     host.run([&] {
         fleet_state empty = make_fleet();
-        request_gateway early({.fleet = empty,
+        request_gateway early({.runtime = host.runtime,
+                               .fleet = empty,
                                .membership = host.membership,
                                .dispatcher = host.dispatcher,
                                .limiter = host.limiter,
