Share one way to send, to take a report and to go through current digests

Reading the change again: the question for a bulletin repeated the sending of reports with its book-keeping; taking a report's objects stood twice; four loops chose current digests; sums copied every report although only bulletins need copies. send() now takes a handler for the reply, and the membership goes through digests and reports in one place each. A bulletin no longer marks the asking host itself as silent, which nothing read. Two tests built a gateway by hand; they use the fixture's parts. Behaviour and assertions are unchanged.

--- a/src/libraries/gateway/fleet_exchange.cpp
+++ b/src/libraries/gateway/fleet_exchange.cpp
@@ -60,12 +60,16 @@
         m_log.write(log_level::warn, "report_refused", field("cause", report.error().message));
         return;
     }
-    for (const known_object& known : report.value().new_objects) {
+    accept_report(std::move(report).value());
+}
+
+void fleet_exchange::accept_report(fleet_report report) {
+    for (const known_object& known : report.new_objects) {
         if (m_region_objects.size() < object_limit)
             m_region_objects.push_back(known);
     }
     if (m_on_report)
-        m_on_report(std::move(report).value());
+        m_on_report(std::move(report));
 }
 
 std::string fleet_exchange::answer_question(std::string_view text) {
@@ -74,12 +78,7 @@
         m_log.write(log_level::warn, "question_refused", field("cause", question.error().message));
         return {};
     }
-    for (const known_object& known : question.value().report.new_objects) {
-        if (m_region_objects.size() < object_limit)
-            m_region_objects.push_back(known);
-    }
-    if (m_on_report)
-        m_on_report(question.value().report);
+    accept_report(question.value().report);
     return m_make_bulletin ? write_region_bulletin(m_make_bulletin(question.value())) : std::string();
 }
 
@@ -102,10 +101,13 @@
     return peers;
 }
 
+std::optional<host_id> fleet_exchange::reporter_of(const region_id& region, time_point now) const {
+    return m_membership.reporter_of(region, unreachable_peers(now), now);
+}
+
 bool fleet_exchange::is_reporter(time_point now) const {
     return m_membership.uses_reporters() &&
-           m_membership.reporter_of(m_membership.options().region, unreachable_peers(now), now) ==
-               m_membership.options().self;
+           reporter_of(m_membership.options().region, now) == m_membership.options().self;
 }
 
 void fleet_exchange::send_reports(time_point now) {
@@ -119,7 +121,7 @@
             send(peer, "report", message);
         return;
     }
-    const auto reporter = m_membership.reporter_of(m_membership.options().region, unreachable_peers(now), now);
+    const auto reporter = reporter_of(m_membership.options().region, now);
     if (reporter != m_membership.options().self) {
         if (const auto peer = reporter ? find_peer(*reporter) : std::nullopt)
             ask_reporter(*peer, report, now);
@@ -132,51 +134,45 @@
 }
 
 void fleet_exchange::ask_reporter(const entry_host& reporter, const fleet_report& report, time_point now) {
-    const auto endpoint = parse_endpoint(reporter.peer_address);
-    const std::string key = "question to " + reporter.name;
-    if (!endpoint || !m_under_way.insert(key).second)
-        return;
     const bulletin_question question{.report = report, .object_source = m_object_source, .next_object = m_next_object};
-    auto message = make_message(question_message, write_bulletin_question(question));
-    m_runtime.spawn([this, message = std::move(message), key, now, name = reporter.name, address = endpoint.value()] {
-        const auto reply = m_bus->request(address, *message, m_options.report_timeout);
-        m_under_way.erase(key);
-        record_reachable(name, reply.has_value(), reply ? std::string() : reply.error().message);
-        if (!reply)
-            return;
-        auto bulletin = read_region_bulletin(reply.value());
-        if (!bulletin) {
-            m_log.write(log_level::warn, "bulletin_refused", field("peer", name),
-                        field("cause", bulletin.error().message));
-            return;
-        }
-        m_object_source = bulletin.value().reporter_run;
-        m_next_object = bulletin.value().next_object;
-        if (m_on_bulletin)
-            m_on_bulletin(std::move(bulletin).value(), now);
-    });
+    send(reporter, "question", make_message(question_message, write_bulletin_question(question)),
+         [this, now, name = reporter.name](std::string_view reply) {
+             auto bulletin = read_region_bulletin(reply);
+             if (!bulletin) {
+                 m_log.write(log_level::warn, "bulletin_refused", field("peer", name),
+                             field("cause", bulletin.error().message));
+                 return;
+             }
+             m_object_source = bulletin.value().reporter_run;
+             m_next_object = bulletin.value().next_object;
+             if (m_on_bulletin)
+                 m_on_bulletin(std::move(bulletin).value(), now);
+         });
 }
 
 void fleet_exchange::send_digest(const region_digest& digest, time_point now) {
     const auto message = make_message(digest_message, write_region_digest(digest));
     for (const region_id& region : m_membership.other_regions()) {
-        const auto reporter = m_membership.reporter_of(region, unreachable_peers(now), now);
+        const auto reporter = reporter_of(region, now);
         const auto peer = reporter ? find_peer(*reporter) : std::nullopt;
         if (peer)
             send(*peer, "digest", message);
     }
 }
 
-void fleet_exchange::send(const entry_host& peer, const std::string& stream,
-                          std::shared_ptr<const std::string> message) {
+void fleet_exchange::send(const entry_host& peer, const std::string& stream, std::shared_ptr<const std::string> message,
+                          reply_handler on_reply) {
     const auto endpoint = parse_endpoint(peer.peer_address);
     const std::string key = stream + " to " + peer.name;
     if (!endpoint || !m_under_way.insert(key).second)
         return;
-    m_runtime.spawn([this, message = std::move(message), key, name = peer.name, address = endpoint.value()] {
+    m_runtime.spawn([this, message = std::move(message), on_reply = std::move(on_reply), key, name = peer.name,
+                     address = endpoint.value()] {
         const auto reply = m_bus->request(address, *message, m_options.report_timeout);
         m_under_way.erase(key);
         record_reachable(name, reply.has_value(), reply ? std::string() : reply.error().message);
+        if (reply && on_reply)
+            on_reply(reply.value());
     });
 }
 
--- a/src/libraries/gateway/fleet_exchange.h
+++ b/src/libraries/gateway/fleet_exchange.h
@@ -75,15 +75,22 @@
 private:
     std::string answer(std::string_view message);
     void take_report(std::string_view text);
+    void accept_report(fleet_report report);
     std::string answer_question(std::string_view text);
     void ask_reporter(const entry_host& reporter, const fleet_report& report, time_point now);
     void take_digest(std::string_view text);
     void record_reachable(const host_id& peer, bool is_reachable, std::string_view cause);
     std::set<host_id> unreachable_peers(time_point now) const;
+
+    /// The region's reporter among the hosts that can be reached.
+    std::optional<host_id> reporter_of(const region_id& region, time_point now) const;
     void send_digest(const region_digest& digest, time_point now);
 
-    /// Sends to a peer, unless an earlier message of the same stream waits for its acknowledgement.
-    void send(const entry_host& peer, const std::string& stream, std::shared_ptr<const std::string> message);
+    using reply_handler = std::function<void(std::string_view)>;
+
+    /// Sends to a peer, unless an earlier message of the same stream waits for its reply. The handler gets the reply.
+    void send(const entry_host& peer, const std::string& stream, std::shared_ptr<const std::string> message,
+              reply_handler on_reply = {});
     std::optional<entry_host> find_peer(const host_id& name) const;
     std::optional<network_endpoint> endpoint_of(const host_id& name) const;
 
--- a/src/libraries/gateway/fleet_report_codec.cpp
+++ b/src/libraries/gateway/fleet_report_codec.cpp
@@ -32,7 +32,6 @@
     return count;
 }
 
-/// The lists that reports and digests have in common.
 void write_demands(record_writer& writer, const std::vector<account_demand>& demands) {
     writer.add_number(to_signed(demands.size()));
     for (const account_demand& demand : demands)
@@ -72,6 +71,7 @@
     return crashes;
 }
 
+/// The lists that reports and digests have in common.
 template <typename Message>
 void write_lists(record_writer& writer, const Message& message) {
     write_demands(writer, message.demands);
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -98,7 +98,9 @@
     const std::set<host_id> leaving(bulletin.leaving.begin(), bulletin.leaving.end());
     for (auto& [name, known] : m_members) {
         const bool is_reporter = name == bulletin.reporter;
-        if (name == m_options.self || (silent.contains(name) && !is_reporter)) {
+        if (name == m_options.self)
+            continue;
+        if (silent.contains(name) && !is_reporter) {
             known.relayed_at.reset();
             known.has_fallen_silent = true;
             continue;
@@ -267,32 +269,37 @@
 }
 
 template <typename Function>
-void fleet_membership::for_each_part(time_point now, Function&& function) const {
+void fleet_membership::for_each_current_digest(time_point now, Function&& function) const {
     for (const auto& [region, digests] : m_digests) {
         for (const relayed_region& known : digests) {
             if (now - known.received_at < m_options.silence_limit)
                 function(known.digest);
         }
     }
-    for (const auto& [name, report] : counted_reports(now))
-        function(report);
 }
 
-std::map<host_id, fleet_report> fleet_membership::counted_reports(time_point now) const {
+template <typename Function>
+void fleet_membership::for_each_counted_report(time_point now, Function&& function) const {
     std::set<host_id> relayed;
-    for (const auto& [region, digests] : m_digests) {
-        for (const relayed_region& known : digests) {
-            if (now - known.received_at >= m_options.silence_limit)
-                continue;
-            for (const relayed_host& host : known.digest.hosts)
-                relayed.insert(host.name);
-        }
-    }
-    std::map<host_id, fleet_report> reports;
+    for_each_current_digest(now, [&](const region_digest& digest) {
+        for (const relayed_host& host : digest.hosts)
+            relayed.insert(host.name);
+    });
     for (const auto& [name, known] : m_members) {
         if (name != m_options.self && is_reporting(known, now) && !relayed.contains(name))
-            reports.emplace(name, known.report);
+            function(known.report);
     }
+}
+
+template <typename Function>
+void fleet_membership::for_each_part(time_point now, Function&& function) const {
+    for_each_current_digest(now, function);
+    for_each_counted_report(now, function);
+}
+
+std::map<host_id, fleet_report> fleet_membership::counted_reports(time_point now) const {
+    std::map<host_id, fleet_report> reports;
+    for_each_counted_report(now, [&](const fleet_report& report) { reports.emplace(report.host, report); });
     return reports;
 }
 
@@ -326,14 +333,10 @@
 
 std::map<account_id, double> fleet_membership::foreign_demands(time_point now) const {
     std::map<account_id, double> sums;
-    for (const auto& [region, digests] : m_digests) {
-        for (const relayed_region& known : digests) {
-            if (now - known.received_at >= m_options.silence_limit)
-                continue;
-            for (const account_demand& demand : known.digest.demands)
-                sums[demand.account] += demand.requests_per_second;
-        }
-    }
+    for_each_current_digest(now, [&](const region_digest& digest) {
+        for (const account_demand& demand : digest.demands)
+            sums[demand.account] += demand.requests_per_second;
+    });
     return sums;
 }
 
@@ -352,16 +355,12 @@
 }
 
 bool fleet_membership::knows_foreign_demand(time_point now) const {
-    return std::all_of(m_digests.begin(), m_digests.end(), [&](const auto& entry) {
-        const auto& digests = entry.second;
-        const auto is_current = [&](const relayed_region& known) {
-            return now - known.received_at < m_options.silence_limit;
-        };
-        const bool has_any = std::any_of(digests.begin(), digests.end(), is_current);
-        return !has_any || std::any_of(digests.begin(), digests.end(), [&](const relayed_region& known) {
-            return is_current(known) && known.digest.is_complete;
-        });
+    std::map<region_id, bool> has_complete;
+    for_each_current_digest(now, [&](const region_digest& digest) {
+        bool& known = has_complete[digest.region];
+        known = known || digest.is_complete;
     });
+    return std::all_of(has_complete.begin(), has_complete.end(), [](const auto& entry) { return entry.second; });
 }
 
 std::optional<std::map<account_id, demand_view>> fleet_membership::demand_views(time_point now) const {
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -179,6 +179,13 @@
     bool is_reporting(const member& known, time_point now) const;
     bool is_relayed(const member& known, time_point now) const;
 
+    template <typename Function>
+    void for_each_current_digest(time_point now, Function&& function) const;
+
+    /// Calls the function with the direct reports of hosts that no current digest contains.
+    template <typename Function>
+    void for_each_counted_report(time_point now, Function&& function) const;
+
     /// Calls the function with the demands and loads that add up to those of all other hosts that are heard: digests,
     /// and the reports of hosts that none of them contains.
     template <typename Function>
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -84,18 +84,7 @@
         : fleet(make_fleet()), membership(make_membership("host")),
           dispatcher({.placement = {.own_region = "gulf"}}, fleet, membership), retries({.ratio = 0.2, .extra = 50}),
           log("host", log_level::off), client(runtime, test_dialect, log), exchange(runtime, membership, log),
-          gateway({.runtime = runtime,
-                   .fleet = fleet,
-                   .membership = membership,
-                   .dispatcher = dispatcher,
-                   .limiter = limiter,
-                   .retries = retries,
-                   .crashes = crashes,
-                   .exchange = exchange,
-                   .client = client,
-                   .dialect = test_dialect,
-                   .log = log,
-                   .counters = counters}) {
+          gateway(make_parts(fleet)) {
         configuration = make_configuration();
         steering_account account;
         account.name = "florist";
@@ -104,6 +93,22 @@
         configuration.routes.front().timeout = std::chrono::milliseconds(800);
     }
 
+    /// Parts for a gateway that learns its configuration from the given state.
+    request_gateway_parts make_parts(fleet_state& state) {
+        return {.runtime = runtime,
+                .fleet = state,
+                .membership = membership,
+                .dispatcher = dispatcher,
+                .limiter = limiter,
+                .retries = retries,
+                .crashes = crashes,
+                .exchange = exchange,
+                .client = client,
+                .dialect = test_dialect,
+                .log = log,
+                .counters = counters};
+    }
+
     scripted_upstream& add_upstream(const std::string& id, scripted_upstream::script answer) {
         upstreams.push_back(std::make_unique<scripted_upstream>(runtime, std::move(answer)));
         upstream_facts facts = make_upstream(id);
--- a/tests/gateway/request_gateway_test.cpp
+++ b/tests/gateway/request_gateway_test.cpp
@@ -351,18 +351,7 @@
     host.add_upstream("one", answer_always(200, "x"));
     host.run([&] {
         fleet_state late = make_fleet();
-        request_gateway early({.runtime = host.runtime,
-                               .fleet = late,
-                               .membership = host.membership,
-                               .dispatcher = host.dispatcher,
-                               .limiter = host.limiter,
-                               .retries = host.retries,
-                               .crashes = host.crashes,
-                               .exchange = host.exchange,
-                               .client = host.client,
-                               .dialect = test_dialect,
-                               .log = host.log,
-                               .counters = host.counters});
+        request_gateway early(host.make_parts(late));
         auto server = http_server::listen(host.runtime, {.address = "127.0.0.1"}, [&](http_exchange& one) {
                           early.handle(one);
                       }).value();
@@ -385,18 +374,7 @@
     gateway_fixture host;
     host.run([&] {
         fleet_state empty = make_fleet();
-        request_gateway early({.runtime = host.runtime,
-                               .fleet = empty,
-                               .membership = host.membership,
-                               .dispatcher = host.dispatcher,
-                               .limiter = host.limiter,
-                               .retries = host.retries,
-                               .crashes = host.crashes,
-                               .exchange = host.exchange,
-                               .client = host.client,
-                               .dialect = test_dialect,
-                               .log = host.log,
-                               .counters = host.counters});
+        request_gateway early(host.make_parts(empty));
         auto server = http_server::listen(host.runtime, {.address = "127.0.0.1"}, [&](http_exchange& one) {
                           early.handle(one);
                       }).value();
