--- a/review/3/case.py
+++ b/review/3/case.py
@@ -39,6 +39,7 @@
         hosts[-1].start()
     for host in hosts:
         await kit.until("%s ready" % host.name, 10, host.is_ready)
+    await asyncio.sleep(8)  # Traffic starts 8 s after the machines do.
     sent = {}
     counts = {}
     stop = False
