--- a/review/1/case.py
+++ b/review/1/case.py
@@ -13,6 +13,9 @@
 
 ZONES = {"gulf-a": "gulf"}
 GRACE_S = 6.0            # graceS: SIGKILL follows SIGTERM after this time.
+LONG_GRACE_S = 10.0      # The same on the large installation (cpn-permisos-large).
+LONG_WORK_S = 5.5        # Of a zoning read there; the longest take 6.72 s.
+LONG_LIMIT_MS = 12000    # Time limit of zoning reads.
 EXCUSED_SENT_S = 3.0     # Requests sent later than this after SIGTERM have no excuse for a backend at work.
 HEADER_TIMEOUT_S = 3.0   # headerTimeoutMs of the configuration.
 LIMIT_MS = 6000          # Time limit of the clients and time-out of the routes.
@@ -34,9 +37,60 @@
         return b"x" * DOWNLOAD_BYTES
 
 
-def fields(request_id):
+def fields(request_id, limit_ms=LIMIT_MS):
     return [("Host", "lots.example"), ("Ragworthinge-Request-Id", request_id), ("Ragworthinge-Affinity-Key", "17"),
-            ("Ragworthinge-Request-Deadline-Ms", str(LIMIT_MS)), ("Api-Key", "florist-key-0001")]
+            ("Ragworthinge-Request-Deadline-Ms", str(limit_ms)), ("Api-Key", "florist-key-0001")]
+
+
+async def long_grace(record, folder, hosts):
+    """Ordinary reads on new connections, 4.0 to 4.5 s after SIGTERM, with a graceS of 10. Returns how many were lost."""
+    store = kit.Store(record)
+    await store.start()
+    backends = [kit.Backend(record, "i-zone-%d" % n, "normas", "gulf-a", slots=3, work=LONG_WORK_S) for n in range(4)]
+    for backend in backends:
+        await backend.start()
+        store.put("servers/" + backend.name, backend.entry())
+    store.put("op/config", kit.configuration(
+        2, [["zoning", "lots.example", "/zoning/", "safe", LONG_LIMIT_MS, 1500, 2, 2, "normas"]],
+        [["florist", "florist-key-0001", 1000, 1000]], ["normas"]))
+    own = [kit.Host(record, folder, name, store.port, ZONES, "gulf-a", LONG_GRACE_S) for name in ("large-1", "large-2")]
+    hosts += own
+    for host in own:
+        host.start()
+    for host in own:
+        await kit.until("%s ready" % host.name, 10, host.is_ready)
+    await asyncio.sleep(3)
+    if kit.TROUBLE:
+        own[0].signal(signal.SIGTERM)
+    at = time.monotonic()
+    outcomes = {}
+
+    async def read(number):
+        await asyncio.sleep(4.0 + 0.1 * number)
+        name = "late-%d" % number
+        sent_at = time.monotonic()
+        try:
+            status, _, _ = await kit.call("127.0.0.1", own[0].callers, "GET", "/zoning/1", fields(name, LONG_LIMIT_MS), None,
+                                          LONG_LIMIT_MS / 1000)
+            outcome = str(status)
+        except ConnectionRefusedError:
+            outcome = "refused"
+        except asyncio.TimeoutError:
+            outcome = "time limit"
+        except OSError:
+            outcome = "closed"
+        outcomes[name] = outcome
+        record.write("client: %s, sent %+.2f s and ended %+.2f s of SIGTERM: %s" % (
+            name, sent_at - at, time.monotonic() - at, outcome))
+
+    await asyncio.gather(*[read(number) for number in range(6)])
+    if kit.TROUBLE:
+        await own[0].ended(LONG_GRACE_S - (time.monotonic() - at))
+    ran = {run[1] for backend in backends for run in backend.runs}
+    lost = [name for name, outcome in outcomes.items() if outcome == "closed" and name in ran]
+    record.say("graceS 10, of %d reads sent 4.0 to 4.5 s after SIGTERM, lost after they were passed on: %d; %s" % (
+        len(outcomes), len(lost), sorted(outcomes.values())))
+    return len(lost)
 
 
 async def case(record, folder, hosts):
@@ -181,7 +235,8 @@
     by_how = {how: sum(1 for sent in lost if sent.how == how) for how in ("kept", "slow-body", "slow-head")}
     record.say("of %d requests, lost after they were passed on to a backend: %s; other ends: %s" % (
         len(requests), by_how, sorted(sent.outcome for sent in requests if sent not in lost)))
-    return kit.BROKEN if lost else kit.HELD
+    late = await long_grace(record, folder, hosts)
+    return kit.BROKEN if lost or late else kit.HELD
 
 
 kit.run_case(case, HERE)
--- a/review/common/kit.py
+++ b/review/common/kit.py
@@ -306,7 +306,7 @@
 class Host:
     """An entry host: the project's program with the command of the deploy file."""
 
-    def __init__(self, record, folder, name, store_port, zones, zone):
+    def __init__(self, record, folder, name, store_port, zones, zone, grace_s=6):
         self.record, self.folder, self.name = record, folder, name
         self.callers, self.ready, self.lookups, self.peers, self.metrics = free_ports(5)
         self.settings = os.path.join(folder, name + ".json")
@@ -317,7 +317,7 @@
                                   "metrics": "127.0.0.1:%d" % self.metrics},
                        "store": "127.0.0.1:%d" % store_port,
                        "failure_domains": [{"name": each, "region": region} for each, region in zones.items()],
-                       "bounds": {"lookup_lifetime_s": 5, "stop_time_s": 6, "retry_ratio": 0.2, "extra_retries": 64,
+                       "bounds": {"lookup_lifetime_s": 5, "stop_time_s": grace_s, "retry_ratio": 0.2, "extra_retries": 64,
                                   "retry_window_s": 10}}, file)
         self.process = None
 
