Refuse the waiting requests of a stopping host while it can still answer

Callers saw closed connections in a planned stop for requests that had waited for cold upstreams and had never been sent.

Cause: the stop waits for requests in progress and then ends the process. The queue of the dispatcher is not told and lets requests wait until their own time limit, as in normal service. Evidence: under_way="12" in the line "stopped" 5.71 s after "stop"; the upstreams never ran those requests. The line did not say whether they waited or were at an upstream; it now counts both, and "stop" names the times of the plan.

Fix: stop_plan states what a host still does from SIGTERM to its exit, and the dispatcher asks it for every request that waits or would have to. A request may wait as long as its own time limit ends before the exit, or, while lookup answers still name the host, three times its expected time fits. All others are refused at once; that is true, since they have not run, and leaves half of the stop time to ask another host.

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -420,26 +420,27 @@
 }
 
 void gateway_process::stop() {
-    const time_point started = monotonic_clock::now();
+    const time_point ordered_at = boot_time_now();
+    const stop_plan plan(ordered_at, m_settings.bounds.stop_time, m_options.stop);
     m_is_stopping = true;
     m_membership.set_leaving();
     m_callers->start_draining();
-    m_exchange.send_reports(boot_time_now());
     m_log.write(log_level::info, "stop", field("under_way", m_gateway.in_progress()),
-                field("connections", m_callers->connection_count()));
+                field("waiting", m_dispatcher.waiting()), field("connections", m_callers->connection_count()),
+                field("accepts_for", plan.accepts_until() - ordered_at),
+                field("exits_in", plan.exits_at() - ordered_at));
+    m_dispatcher.begin_stop(plan, ordered_at);
+    m_exchange.send_reports(boot_time_now());
     m_runtime.spawn([this] { m_registration->withdraw(); });
 
-    const auto accepting_time =
-        std::chrono::duration_cast<duration>(m_settings.bounds.stop_time * m_options.accepting_fraction);
-    m_runtime.sleep_for(accepting_time);
+    m_runtime.sleep_for(plan.accepts_until() - boot_time_now());
     m_callers->close_idle();
 
     constexpr auto check_period = std::chrono::milliseconds(20);
-    const time_point end = started + m_settings.bounds.stop_time - m_options.shutdown_margin;
-    while (m_callers->active_requests() > 0 && monotonic_clock::now() < end)
+    while (m_callers->active_requests() > 0 && boot_time_now() < plan.exits_at())
         m_runtime.sleep_for(check_period);
     m_log.write(log_level::info, "stopped", field("under_way", m_gateway.in_progress()),
-                field("taken", monotonic_clock::now() - started));
+                field("waiting", m_dispatcher.waiting()), field("taken", boot_time_now() - ordered_at));
     m_runtime.stop();
 }
 
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -18,6 +18,7 @@
 #include "steering/fleet_state.h"
 #include "steering/region_update_builder.h"
 #include "steering/request_dispatcher.h"
+#include "steering/stop_plan.h"
 
 #include <memory>
 #include <string>
@@ -42,10 +43,7 @@
     /// Time for which callers cache the response to a lookup. Short, so that they leave a dead host soon, but each
     /// lookup costs a request.
     std::chrono::milliseconds lookup_lifetime{2000};
-    /// Fraction of the stop time during which new requests are still accepted. The rest is for those in progress.
-    double accepting_fraction = 0.47;
-    /// The process exits this long before the end of the stop time, even if requests are still in progress.
-    duration shutdown_margin = std::chrono::milliseconds(300);
+    stop_plan_options stop;
 };
 
 /// One entry host of a deployment. Owns and connects the listeners, the fleet state and the request handling.
--- a/src/libraries/steering/request_dispatcher.cpp
+++ b/src/libraries/steering/request_dispatcher.cpp
@@ -17,6 +17,20 @@
     return decision;
 }
 
+dispatch_decision request_dispatcher::refuse_for_stop() const {
+    // Other hosts are not affected, so the caller need not wait for capacity.
+    return refuse("this host is stopping", m_options.min_retry_after);
+}
+
+bool request_dispatcher::may_wait_here(const dispatch_request& request, duration expected, time_point now) const {
+    return !m_stop || m_stop->allows(request.placement.answer_by, expected, now);
+}
+
+void request_dispatcher::begin_stop(const stop_plan& plan, time_point now) {
+    m_stop = plan;
+    serve_waiting(now);
+}
+
 double request_dispatcher::own_slots(const service_id& service) const {
     double slots = 0;
     for (const auto& upstream : m_fleet.upstreams_of(service))
@@ -68,6 +82,8 @@
     if (now + decision.expected_wait + typical.known_object > request.placement.answer_by)
         return refuse_overloaded("cold upstreams are at their rate limit for too long", request, decision.expected_wait,
                                  now);
+    if (!may_wait_here(request, decision.expected_wait + typical.known_object, now))
+        return refuse_for_stop();
     decision.type = dispatch_decision::kind::wait;
     return decision;
 }
@@ -109,6 +125,8 @@
                                                                         entry.request.placement.route->target_latency);
             if (decision.placed.kind == placement_kind::send)
                 decision.type = dispatch_decision::kind::send;
+            else if (!may_wait_here(entry.request, typical.known_object, now))
+                decision = refuse_for_stop();
             else if (decision.placed.kind == placement_kind::wait &&
                      now + typical.known_object <= entry.request.placement.answer_by)
                 continue;
--- a/src/libraries/steering/request_dispatcher.h
+++ b/src/libraries/steering/request_dispatcher.h
@@ -7,11 +7,13 @@
 #include "steering/fleet_state.h"
 #include "steering/placement_policy.h"
 #include "steering/processing_time_estimator.h"
+#include "steering/stop_plan.h"
 #include "steering/waiting_queue.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace ragworthinge {
 
@@ -60,6 +62,9 @@
 
     void enqueue(waiting_ticket ticket, dispatch_request request, time_point now, outcome_handler on_outcome);
 
+    /// From now on requests wait only as far as the plan allows. Those that may no longer wait are refused at once.
+    void begin_stop(const stop_plan& plan, time_point now);
+
     /// Removes a waiting request whose caller disconnected.
     bool cancel(waiting_ticket ticket);
 
@@ -81,6 +86,10 @@
     double own_slots(const service_id& service) const;
     duration expected_queue_wait(const dispatch_request& request) const;
     dispatch_decision refuse(const char* reason, duration retry_after) const;
+    dispatch_decision refuse_for_stop() const;
+
+    /// False if this host stops before the response that is expected after the given time.
+    bool may_wait_here(const dispatch_request& request, duration expected, time_point now) const;
 
     /// Refuses a request for lack of capacity, with a Retry-After that differs from those of other refused callers.
     dispatch_decision refuse_overloaded(const char* reason, const dispatch_request& request, duration earliest,
@@ -95,6 +104,7 @@
     std::map<service_id, time_point>
         m_last_retry_times; ///< Time at which the retry of the last refused caller is expected.
     std::map<waiting_ticket, waiting_entry> m_waiting;
+    std::optional<stop_plan> m_stop; ///< Present from the order to stop on.
 };
 
 } // namespace ragworthinge
--- /dev/null
+++ b/tests/end_to_end/platform_stop_check.py
@@ -0,0 +1,127 @@
+"""What callers get from an entry host that is told to stop, with real processes and stand-ins of the platform.
+
+Each request that the host has read must be answered before it exits, and one that is refused must not have run."""
+
+import http.client
+import os
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, os.path.dirname(__file__))
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "standins"))
+import platform_standin  # noqa: E402
+from platform_path_check import check, entry_host, wait_until  # noqa: E402
+
+STOP_SECONDS = 6.0
+TIME_LIMIT_MS = 9000  # Of the routes and the callers: later than any exit.
+
+
+class caller:
+    """One request that is not idempotent: its outcome is a status, "closed" or "refused connection"."""
+
+    def __init__(self, host, name):
+        self.host, self.name = host, name
+        self.outcome, self.seconds = None, None
+
+    def head(self, body_bytes=0):
+        return ("POST /book/1 HTTP/1.1\r\nHost: lots.example\r\nRagworthinge-Request-Id: %s\r\n"
+                "Ragworthinge-Affinity-Key: %s\r\nRagworthinge-Request-Deadline-Ms: %d\r\nApi-Key: good-key\r\n"
+                "Content-Length: %d\r\n\r\n" % (self.name, self.name, TIME_LIMIT_MS, body_bytes)).encode()
+
+    def send(self, pieces, pause=0.0):
+        """Sends the pieces with a pause before each but the first, then reads the response."""
+        try:
+            connection = socket.create_connection(("127.0.0.1", self.host.callers), timeout=TIME_LIMIT_MS / 1000)
+        except ConnectionRefusedError:
+            self.outcome = "refused connection"
+            return
+        try:
+            for number, piece in enumerate(pieces):
+                if number:
+                    time.sleep(pause)
+                connection.sendall(piece)
+            started = time.monotonic()
+            response = http.client.HTTPResponse(connection)
+            response.begin()
+            response.read()
+            self.outcome, self.seconds = response.status, time.monotonic() - started
+        except (OSError, http.client.HTTPException):
+            self.outcome = "closed"
+        finally:
+            connection.close()
+
+
+def run_together(functions):
+    threads = [threading.Thread(target=function) for function in functions]
+    for thread in threads:
+        thread.start()
+    return threads
+
+
+def check_refusals(callers, upstreams):
+    """A refused request has not run; every other request has a response."""
+    ran = {request_id for upstream in upstreams for _, request_id in upstream.runs}
+    refused = [each for each in callers if each.outcome == 503]
+    check("no refused request ran", not [each.name for each in refused if each.name in ran])
+    outcomes = {}
+    for each in callers:
+        outcomes[each.outcome] = outcomes.get(each.outcome, 0) + 1
+    print("outcomes: %s" % outcomes)
+    return refused
+
+
+def check_waiting_requests(host, store, upstreams):
+    """Guards against a stop that drops requests waiting for cold upstreams: they never ran, but their callers get a
+    closed connection and must not send them again."""
+    for upstream in upstreams:
+        store.put("servers/" + upstream.name, upstream.entry(coldRemainingMs=20000, sequence=2))
+    time.sleep(1.5)
+    callers = [caller(host, "waiting-%d" % number) for number in range(40)]
+    threads = run_together([lambda one=one: one.send([one.head()]) for one in callers])
+    time.sleep(0.5)
+    host.process.send_signal(signal.SIGTERM)
+    code = host.process.wait(STOP_SECONDS)
+    for thread in threads:
+        thread.join()
+    check("the host ends by itself with code 0", code == 0)
+    refused = check_refusals(callers, upstreams)
+    check("every waiting request is answered", all(each.outcome in (200, 503) for each in callers))
+    check("requests still waited when the host had to refuse them", len(refused) > 5)
+    check("refused callers keep half of the stop time to ask another host",
+          all(each.seconds < 0.5 + STOP_SECONDS / 2 for each in refused))
+
+
+SCENARIOS = [check_waiting_requests]
+
+
+def main():
+    configuration = platform_standin.configuration(2, ["good-key"])
+    for row in configuration["routes"]["rows"]:
+        row[4] = TIME_LIMIT_MS
+    for scenario in SCENARIOS:
+        print(scenario.__name__)
+        store = platform_standin.kv_standin()
+        upstreams = [platform_standin.upstream_standin("i-%d" % number) for number in range(2)]
+        store.put("op/config", configuration)
+        for upstream in upstreams:
+            store.put("servers/" + upstream.name, upstream.entry())
+        with tempfile.TemporaryDirectory() as folder:
+            hosts = [entry_host(sys.argv[1], folder, "front-%d" % number, store.port, subprocess.DEVNULL)
+                     for number in range(2)]
+            try:
+                wait_until("all hosts ready", 10, lambda: all(host.is_ready() for host in hosts))
+                time.sleep(1)
+                scenario(hosts[0], store, upstreams)
+            finally:
+                for host in hosts:
+                    host.process.kill()
+                    host.process.wait()
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/steering/request_dispatcher_test.cpp
+++ b/tests/steering/request_dispatcher_test.cpp
@@ -4,9 +4,57 @@
 
 #include <catch2/catch.hpp>
 
+#include <map>
+#include <string>
+
 using namespace ragworthinge;
 using namespace std::chrono_literals;
 
+namespace {
+
+/// A host of a fleet with one upstream.
+struct dispatcher_fixture {
+    dispatcher_fixture()
+        : fleet(make_fleet()), membership(make_membership("host")),
+          dispatcher({.placement = {.own_region = "gulf"}}, fleet, membership) {
+        fleet.apply(configuration_submitted{make_configuration()}, test_start);
+        fleet.apply(upstream_announced{make_upstream("one")}, test_start);
+    }
+
+    /// Makes the upstream cold for longer than any stop, with the rate limit of this second used up.
+    void make_cold(time_point now) {
+        constexpr int requests_per_second = 3;
+        observed_upstream& upstream = *fleet.find_upstream("one");
+        upstream.set_cold(1min, now);
+        for (int count = 0; count < requests_per_second; ++count)
+            upstream.end_attempt(upstream.start_attempt(270ms, now), attempt_end::cancelled, 0s, now);
+    }
+
+    dispatch_request make_dispatch_request(time_point answer_by) const {
+        return {.placement = {.route = &route,
+                              .service = "lots",
+                              .object = {},
+                              .account_regions = nullptr,
+                              .tried = {},
+                              .answer_by = answer_by},
+                .target_at = test_start + 600ms};
+    }
+
+    void enqueue(waiting_ticket ticket, time_point answer_by, time_point now) {
+        dispatcher.enqueue(
+            ticket, make_dispatch_request(answer_by), now,
+            [this](waiting_ticket ended, const dispatch_decision& decision) { outcomes[ended] = decision; });
+    }
+
+    steering_route route = make_route("lots");
+    fleet_state fleet;
+    fleet_membership membership;
+    request_dispatcher dispatcher;
+    std::map<waiting_ticket, dispatch_decision> outcomes;
+};
+
+} // namespace
+
 // Guards against callers that retry at the same time, and against a Retry-After that outlasts the overload by minutes.
 TEST_CASE("refused callers get different Retry-After times with an upper bound") {
     fleet_state fleet = make_fleet();
@@ -36,3 +84,46 @@
     // After the overload, the times start from the minimum again.
     CHECK(refuse(test_start + 1min) <= first);
 }
+
+// Guards against a host that exits with requests in its queue: they did not run, but their callers do not learn it.
+TEST_CASE("requests that wait for a cold upstream are refused while a stopping host can still answer") {
+    dispatcher_fixture host;
+    host.make_cold(test_start);
+    host.enqueue(1, test_start + 8s, test_start);
+    host.enqueue(2, test_start + 4s, test_start);
+    const stop_plan plan(test_start, 6s);
+    host.dispatcher.begin_stop(plan, test_start);
+    CHECK(host.dispatcher.waiting() == 2);
+
+    host.make_cold(plan.accepts_until());
+    host.dispatcher.serve_waiting(plan.accepts_until());
+    REQUIRE(host.outcomes.size() == 1);
+    CHECK(host.outcomes[1].type == dispatch_decision::kind::refuse);
+    CHECK(host.outcomes[1].reason == std::string("this host is stopping"));
+    CHECK(host.outcomes[1].retry_after > 0s);
+    // The time limit of the other one ends before the exit.
+    CHECK(host.dispatcher.waiting() == 1);
+    host.make_cold(test_start + 4s);
+    host.dispatcher.serve_waiting(test_start + 4s);
+    CHECK(host.dispatcher.waiting() == 0);
+}
+
+TEST_CASE("waiting requests that a short stop cannot serve are refused as soon as it begins") {
+    dispatcher_fixture host;
+    host.make_cold(test_start);
+    host.enqueue(1, test_start + 8s, test_start);
+    host.dispatcher.begin_stop(stop_plan(test_start, 500ms), test_start);
+    CHECK(host.dispatcher.waiting() == 0);
+    CHECK(host.outcomes[1].type == dispatch_decision::kind::refuse);
+}
+
+TEST_CASE("a stopping host refuses at once what would have to wait for too long") {
+    dispatcher_fixture host;
+    host.make_cold(test_start);
+    const dispatch_request request = host.make_dispatch_request(test_start + 8s);
+    CHECK(host.dispatcher.decide(request, test_start).type == dispatch_decision::kind::wait);
+    const stop_plan plan(test_start, 6s);
+    host.dispatcher.begin_stop(plan, test_start);
+    host.make_cold(plan.accepts_until());
+    CHECK(host.dispatcher.decide(request, plan.accepts_until()).type == dispatch_decision::kind::refuse);
+}
