Do not let a late store write remove or replace the record of a running host

Cause: a host's removal of its record, and its write, named no revision. The store executed a removal whose response was lost 5 s later, when the host had started again, and removed the new record. The host renewed its lease, which says nothing about the record, and never wrote it again. Hosts that started later had no record of it, dropped its reports and divided the rate among fewer. Evidence: withdrawal_failed, host_registered, then fleet_change "host front-0 is gone" one revision after its own record, and no host_lease_ended.

Fix: each write of the record names the revision that it replaces, so a late one changes nothing. A host compares the records that it reads with its own and writes it again if it is missing or belongs to an earlier process (host_record_lost).

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -217,6 +217,7 @@
 }
 
 void gateway_process::apply_fleet_change() {
+    m_registration->compare_with_store(m_fleet.hosts(), m_synchronizer->revision());
     if (m_fleet.table() == nullptr)
         return;
     const caller_limits& limits = m_fleet.table()->configuration().limits;
--- a/src/libraries/gateway/host_registration.h
+++ b/src/libraries/gateway/host_registration.h
@@ -5,6 +5,8 @@
 #include "store/platform_store.h"
 #include "store/store_session.h"
 
+#include <cstdint>
+#include <map>
 #include <optional>
 
 namespace ragworthinge {
@@ -18,7 +20,10 @@
     duration retry_period = std::chrono::milliseconds(500);
 };
 
-/// Registers this host in the store and renews the lease of its record.
+/// Registers this host in the store, renews the lease of its record, and registers again if the record disappears.
+///
+/// The store may execute a write seconds after its response was lost, when the host has started again under the same
+/// name. Each write therefore names the revision that it replaces, so that a late one changes nothing.
 class host_registration {
 public:
     host_registration(fiber_runtime& runtime, platform_store& store, entry_host self, event_log& log,
@@ -27,12 +32,19 @@
     /// Starts the fiber that registers and renews.
     void start();
 
-    /// Removes the record from the store. Blocks the fiber for one store call.
+    /// Registers again if the store no longer holds this incarnation's record. `hosts` are the records that the store
+    /// held at the given revision.
+    void compare_with_store(const std::map<host_id, entry_host>& hosts, std::int64_t revision);
+
+    /// Removes the record from the store. Blocks the fiber for one store call. A record whose write was never confirmed
+    /// is left to the end of its lease.
     void withdraw();
 
 private:
     void maintain_registration();
+    void wait_for_next_step();
     result<void> put_record();
+    void remove_record();
 
     fiber_runtime& m_runtime;
     platform_store& m_store;
@@ -40,6 +52,7 @@
     event_log& m_log;
     host_registration_options m_options;
     std::optional<store_session> m_session;
+    std::int64_t m_record_revision = 0; ///< Store revision of the last confirmed write of the record; zero if none.
     bool m_is_registered = false;
     bool m_is_stopped = false;
 };
--- a/tests/end_to_end/platform_path_check.py
+++ b/tests/end_to_end/platform_path_check.py
@@ -131,6 +131,13 @@
     store.put("servers/forged", busy.entry(slots="many"))
 
 
+def check_lost_record(store, hosts):
+    """Guards against a host that serves on although its record in the store is gone: hosts that start do not know it."""
+    key = "ragworthinge/hosts/" + hosts[0].name
+    store.remove(key)
+    wait_until("the host writes its record again", 4, lambda: key in store.items)
+
+
 def check_outage(store, hosts):
     store.is_down = True
     time.sleep(3)
@@ -210,6 +217,7 @@
                 hosts.append(entry_host(build, folder, "front-%d" % number, store.port, output))
             check_serving(hosts, upstreams)
             check_changes(store, hosts, upstreams)
+            check_lost_record(store, hosts)
             check_outage(store, hosts)
             check_blocked_output(hosts[2])
             status, body = hosts[0].get(hosts[0].metrics, "/metrics")
