Do not let a late announcement of an upstream replace a later one

Cause: the announcement written to the store last was taken for the newest. The store executed one from before the drain 2.4 s after it. Evidence: fleet_change "drains" at revision 13, "is ready" at 15 and "drains" at 16. The lines could not tell an upstream that is ready again from an earlier announcement; they now carry its number and the upstream's start time.

Fix: fleet_state ignores an announcement with an earlier start, or with the same start and a lower number, and logs it as outdated. The same holds after an entry was removed or lapsed. The order is trusted for 30 s only, so that a clock that was set back or a wrong number does not exclude an upstream for good.

--- a/src/libraries/gateway/fleet_synchronizer.cpp
+++ b/src/libraries/gateway/fleet_synchronizer.cpp
@@ -36,7 +36,8 @@
         const upstream_description& description = change.description;
         return "upstream " + description.id + " of " + description.service +
                (description.is_draining ? " drains" : " is ready") + " at " + description.address + " in " +
-               description.failure_domain;
+               description.failure_domain + ", announcement " + std::to_string(description.sequence) +
+               " since its start at " + std::to_string(description.started_at);
     }
     std::string operator()(const upstream_withdrawn& change) const { return "upstream " + change.id + " is gone"; }
     std::string operator()(const host_announced& change) const {
@@ -316,22 +317,27 @@
     if (!decoded.problem.empty())
         m_log.write(log_level::warn, "entry_unreadable", field("key", key), field("revision", revision),
                     field("problem", decoded.problem));
-    if (value)
+    const change_effect effect =
+        decoded.change ? apply_change(key, *decoded.change, revision, source) : change_effect::unchanged;
+    if (effect == change_effect::outdated) {
+        // Peers that take a snapshot must not begin with an entry that is known to be outdated.
+        if (known != m_entries.end())
+            known->second.revision = revision;
+    } else if (value) {
         m_entries[key] = {*value, revision};
-    else if (known != m_entries.end())
+    } else if (known != m_entries.end()) {
         m_entries.erase(known);
-    if (decoded.change)
-        apply_change(key, *decoded.change, revision, source);
+    }
 }
 
-void fleet_synchronizer::apply_change(const std::string& key, const fleet_change& change, std::int64_t revision,
-                                      std::string_view source) {
+change_effect fleet_synchronizer::apply_change(const std::string& key, const fleet_change& change,
+                                               std::int64_t revision, std::string_view source) {
     const time_point now = boot_time_now();
     if (const auto* withdrawn = std::get_if<upstream_withdrawn>(&change);
         withdrawn != nullptr && may_have_lapsed(now)) {
         m_fleet.mark_lapsed(withdrawn->id, *m_recovered_at);
         m_log.write(log_level::info, "upstream_lapsed", field("upstream", withdrawn->id), field("revision", revision));
-        return;
+        return change_effect::applied;
     }
     const change_effect effect = m_fleet.apply(change, now);
     if (const auto* host = std::get_if<host_announced>(&change))
@@ -342,6 +348,7 @@
         m_log.write(log_level::info, "fleet_change", field("what", std::visit(change_description(), change)),
                     field("effect", to_string(effect)), field("key", key), field("revision", revision),
                     field("source", source));
+    return effect;
 }
 
 } // namespace ragworthinge
--- a/src/libraries/gateway/fleet_synchronizer.h
+++ b/src/libraries/gateway/fleet_synchronizer.h
@@ -115,8 +115,8 @@
                          std::string_view source);
     void apply_entry(const std::string& key, const std::optional<std::string>& value, std::int64_t revision,
                      std::string_view source);
-    void apply_change(const std::string& key, const fleet_change& change, std::int64_t revision,
-                      std::string_view source);
+    change_effect apply_change(const std::string& key, const fleet_change& change, std::int64_t revision,
+                               std::string_view source);
     decoded_entry decode_entry(const std::string& key, const std::optional<std::string>& value) const;
     void record_contact(time_point requested_at);
     void record_failure(const error& cause);
--- a/src/libraries/steering/fleet_state.cpp
+++ b/src/libraries/steering/fleet_state.cpp
@@ -19,8 +19,38 @@
     return found == m_options.regions.end() ? region_id() : found->second;
 }
 
+bool fleet_state::is_outdated(const upstream_description& description, time_point now) const {
+    const auto found = m_announcements.find(description.id);
+    if (found == m_announcements.end())
+        return false;
+    const last_announcement& last = found->second;
+    // Without start times, a restarted upstream that counts anew cannot be told from an earlier announcement.
+    const bool is_comparable = description.started_at != 0 && last.started_at != 0;
+    if (!is_comparable || now - last.changed_at >= m_options.late_write_time)
+        return false;
+    if (description.started_at != last.started_at)
+        return description.started_at < last.started_at;
+    // A removed entry does not return with an announcement that was applied before.
+    return description.sequence < last.sequence || (last.is_withdrawn && description.sequence == last.sequence);
+}
+
+void fleet_state::record_announcement(const upstream_description& description, time_point now) {
+    m_announcements[description.id] = {
+        .started_at = description.started_at, .sequence = description.sequence, .changed_at = now};
+}
+
+void fleet_state::record_withdrawal(const upstream_id& id, time_point now) {
+    if (const auto last = m_announcements.find(id); last != m_announcements.end()) {
+        last->second.changed_at = now;
+        last->second.is_withdrawn = true;
+    }
+}
+
 change_effect fleet_state::apply_one(const upstream_announced& change, time_point now) {
     const upstream_description& description = change.description;
+    if (is_outdated(description, now))
+        return change_effect::outdated;
+    record_announcement(description, now);
     auto& state = m_upstreams[description.id];
     const region_id region = region_of(description.failure_domain);
     if (state == nullptr) {
@@ -35,7 +65,8 @@
     return differs ? change_effect::applied : change_effect::unchanged;
 }
 
-change_effect fleet_state::apply_one(const upstream_withdrawn& change, time_point /*now*/) {
+change_effect fleet_state::apply_one(const upstream_withdrawn& change, time_point now) {
+    record_withdrawal(change.id, now);
     return m_upstreams.erase(change.id) > 0 ? change_effect::applied : change_effect::unchanged;
 }
 
@@ -71,13 +102,19 @@
 void fleet_state::mark_lapsed(const upstream_id& id, time_point return_time) {
     if (const auto found = m_upstreams.find(id); found != m_upstreams.end())
         found->second->mark_lapsed(return_time);
+    if (const auto last = m_announcements.find(id); last != m_announcements.end())
+        last->second.changed_at = std::max(last->second.changed_at, return_time);
 }
 
 std::vector<upstream_id> fleet_state::drop_expired(time_point now) {
+    std::erase_if(m_announcements, [&](const auto& entry) {
+        return entry.second.is_withdrawn && now - entry.second.changed_at >= m_options.late_write_time;
+    });
     std::vector<upstream_id> dropped;
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
         if (entry->second->is_expired(now)) {
             dropped.push_back(entry->first);
+            record_withdrawal(entry->first, now);
             entry = m_upstreams.erase(entry);
         } else {
             ++entry;
--- a/src/libraries/steering/fleet_state.h
+++ b/src/libraries/steering/fleet_state.h
@@ -17,6 +17,10 @@
 struct fleet_state_options {
     std::map<failure_domain_id, region_id> regions; ///< Region of each failure domain.
     observed_upstream_options upstreams;
+    /// Time within which an earlier announcement of an upstream may follow a later one, because the store executed a
+    /// write whose response was lost some seconds late. After it, the upstream's own statements about the order are not
+    /// trusted: its clock may have been set back, or another writer may have left a wrong number.
+    duration late_write_time = std::chrono::seconds(30);
 };
 
 /// Effect of a change, for the log.
@@ -27,7 +31,9 @@
 };
 
 /// This host's view of the data that the fleet shares through the store: configuration, upstreams, hosts and
-/// evacuations. The configuration version never decreases, whatever a stale read or a peer provides.
+/// evacuations. The configuration version never decreases, whatever a stale read or a peer provides. An upstream's
+/// announcement never replaces a later one of the same upstream: the store may execute a write late, and the state that
+/// it announces, such as ready before draining, is then outdated.
 class fleet_state {
 public:
     explicit fleet_state(fleet_state_options options) : m_options(std::move(options)) {}
@@ -44,7 +50,8 @@
     /// Marks an upstream whose entry disappeared during a store outage, possibly without having been removed.
     void mark_lapsed(const upstream_id& id, time_point return_time);
 
-    /// Removes the upstreams whose grace period has passed and returns their ids.
+    /// Removes the upstreams whose grace period has passed and returns their ids. Forgets the announcements of
+    /// upstreams that were withdrawn longer ago than a late write can take.
     std::vector<upstream_id> drop_expired(time_point now);
 
     /// Null until a configuration is known.
@@ -70,13 +77,25 @@
     change_effect apply_one(const evacuation_changed& change, time_point now);
     change_effect apply_one(const configuration_submitted& change, time_point now);
 
+    /// The last announcement of an upstream that was applied. Kept for `late_write_time` after its entry was removed.
+    struct last_announcement {
+        std::int64_t started_at = 0;
+        std::int64_t sequence = 0;
+        time_point changed_at; ///< When it, or the removal of its entry, was applied.
+        bool is_withdrawn = false;
+    };
+
     region_id region_of(const failure_domain_id& domain) const;
+    bool is_outdated(const upstream_description& description, time_point now) const;
+    void record_announcement(const upstream_description& description, time_point now);
+    void record_withdrawal(const upstream_id& id, time_point now);
 
     fleet_state_options m_options;
     std::int64_t m_revision = 0;
     time_point m_confirmed_at;
     std::shared_ptr<const steering_table> m_table;
     std::map<upstream_id, std::shared_ptr<observed_upstream>> m_upstreams;
+    std::map<upstream_id, last_announcement> m_announcements;
     std::map<host_id, entry_host> m_hosts;
     std::set<failure_domain_id> m_evacuated;
 };
--- a/tests/end_to_end/platform_path_check.py
+++ b/tests/end_to_end/platform_path_check.py
@@ -121,13 +121,21 @@
     wait_until("the key is back", CONFIGURATION_SECONDS, lambda: all(host.ask("k")[0] == 200 for host in hosts))
 
     busy = max(upstreams, key=lambda upstream: len(upstream.runs))
-    store.put("servers/" + busy.name, busy.entry("draining"))
+    store.put("servers/" + busy.name, busy.entry("draining", sequence=5))
     time.sleep(DRAIN_SECONDS)
     before = len(busy.runs)
     check("requests are served while an upstream drains",
           all(host.ask("drain-%d" % number)[0] == 200 for host in hosts for number in range(10)))
     check("a draining upstream gets nothing more", len(busy.runs) == before)
-    store.put("servers/" + busy.name, busy.entry())
+    store.put("servers/" + busy.name, busy.entry("ready", sequence=4))
+    time.sleep(DRAIN_SECONDS)
+    check("requests are served after a late announcement",
+          all(host.ask("late-%d" % number)[0] == 200 for host in hosts for number in range(10)))
+    check("a late announcement does not end the drain", len(busy.runs) == before)
+    store.put("servers/" + busy.name, busy.entry("ready", sequence=6))
+    time.sleep(DRAIN_SECONDS)
+    check("requests are served by the upstream that is ready again",
+          all(host.ask("ready-%d" % number)[0] == 200 for host in hosts for number in range(10)) and len(busy.runs) > before)
     store.put("servers/forged", busy.entry(slots="many"))
 
 
--- a/tests/gateway/fleet_synchronizer_test.cpp
+++ b/tests/gateway/fleet_synchronizer_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 /// Entries of the test: "config" holds a configuration version, "up/ID" is an upstream, "drain/DOMAIN" an evacuation.
+/// An upstream's value may be "ready N" or "drains N" with the number N of the announcement.
 class test_adapter final : public deployment_adapter {
 public:
     result<settings_text> read_settings() const override { return settings_text{}; }
@@ -29,9 +30,10 @@
             return {configuration_submitted{make_configuration(std::stoll(*value))}, {}};
         if (key.starts_with("up/") && value == "broken")
             return {upstream_withdrawn{key.substr(3)}, "broken"};
+        if (key.starts_with("up/") && value)
+            return {upstream_announced{decode_upstream(key.substr(3), *value)}, {}};
         if (key.starts_with("up/"))
-            return value ? decoded_entry{upstream_announced{make_upstream(key.substr(3))}, {}}
-                         : decoded_entry{upstream_withdrawn{key.substr(3)}, {}};
+            return {upstream_withdrawn{key.substr(3)}, {}};
         if (key.starts_with("drain/"))
             return {evacuation_changed{key.substr(6), value.has_value()}, {}};
         return {};
@@ -43,6 +45,14 @@
     }
 
 private:
+    static upstream_description decode_upstream(const upstream_id& id, const std::string& value) {
+        upstream_description description = make_upstream(id);
+        description.is_draining = value.starts_with("drains ");
+        if (description.is_draining || value.starts_with("ready "))
+            description.sequence = std::stoll(value.substr(value.find(' ')));
+        return description;
+    }
+
     header_field_names m_field_names;
 };
 
@@ -205,6 +215,35 @@
     });
 }
 
+// Guards against using a draining upstream again, here and at hosts that start from this host's snapshot, because the
+// store executed an earlier announcement late.
+TEST_CASE("a late announcement of a draining upstream changes neither the fleet nor the snapshot") {
+    synchronizer_fixture host;
+    std::string snapshot;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.store.put("up/one", "ready 4");
+        host.synchronizer.start();
+        host.wait();
+        host.store.put("up/one", "drains 8");
+        host.wait();
+        host.store.put("up/one", "ready 5");
+        host.wait();
+        CHECK(host.fleet.find_upstream("one")->description().is_draining);
+        CHECK(host.synchronizer.revision() == host.store.revision());
+        snapshot = host.synchronizer.snapshot();
+    });
+    synchronizer_fixture other;
+    other.run([&] {
+        other.store.faults.down = true;
+        other.synchronizer.on_peer_snapshot_request([&](std::int64_t) { return snapshot; });
+        other.synchronizer.start();
+        other.wait(150ms);
+        REQUIRE(other.fleet.find_upstream("one") != nullptr);
+        CHECK(other.fleet.find_upstream("one")->description().is_draining);
+    });
+}
+
 // Guards against a corrupt snapshot from a peer that replaces the known entries.
 TEST_CASE("a corrupt snapshot changes nothing") {
     synchronizer_fixture host;
--- a/tests/platform/entry_decoder_test.cpp
+++ b/tests/platform/entry_decoder_test.cpp
@@ -96,6 +96,7 @@
     CHECK(read.value().slots == 3);
     CHECK_FALSE(read.value().is_draining);
     CHECK(read.value().started_at == 1700000000000);
+    CHECK(read.value().sequence == 4);
     CHECK(read.value().cold_remaining == std::chrono::milliseconds(1500));
     CHECK(decode_upstream("i-1", replaced(upstream_text, "\"ready\"", "\"draining\"")).value().is_draining);
 }
--- a/tests/steering/fleet_state_test.cpp
+++ b/tests/steering/fleet_state_test.cpp
@@ -82,3 +82,92 @@
     CHECK(upstream->is_cold(test_start + 2s));
     CHECK_FALSE(upstream->is_cold(test_start + 3s));
 }
+
+// Guards against using a draining upstream again: the store executed one of its earlier announcements late.
+TEST_CASE("an earlier announcement of an upstream does not replace a later one") {
+    fleet_state fleet = make_fleet();
+    upstream_description description = make_upstream("one");
+    description.sequence = 5;
+    const upstream_description earlier = description;
+    fleet.apply(upstream_announced{description}, test_start);
+    description.sequence = 8;
+    description.is_draining = true;
+    fleet.apply(upstream_announced{description}, test_start + 4s);
+    CHECK(fleet.apply(upstream_announced{earlier}, test_start + 6s) == change_effect::outdated);
+    CHECK(fleet.find_upstream("one")->description().is_draining);
+    // A later announcement of the same upstream counts.
+    description.sequence = 9;
+    description.is_draining = false;
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 7s) == change_effect::applied);
+    CHECK(fleet.find_upstream("one")->is_usable(test_start + 7s));
+}
+
+// Guards against using an upstream that has left: an earlier announcement, executed late, put its entry back.
+TEST_CASE("an earlier announcement does not bring back an upstream whose entry was removed") {
+    fleet_state fleet = make_fleet();
+    upstream_description description = make_upstream("one");
+    description.sequence = 5;
+    fleet.apply(upstream_announced{description}, test_start);
+    fleet.apply(upstream_withdrawn{"one"}, test_start + 40s);
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 44s) == change_effect::outdated);
+    CHECK(fleet.find_upstream("one") == nullptr);
+    description.sequence = 6;
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 45s) == change_effect::applied);
+}
+
+// Guards against an upstream that is not used again after its entry lapsed in a store outage, and against one that is
+// put back into use by an announcement from before the outage.
+TEST_CASE("a lapsed upstream returns with its last announcement but not with an earlier one") {
+    fleet_state fleet = make_fleet();
+    upstream_description description = make_upstream("one");
+    description.sequence = 5;
+    upstream_description earlier = description;
+    earlier.sequence = 4;
+    fleet.apply(upstream_announced{description}, test_start);
+    fleet.mark_lapsed("one", test_start + 40s);
+    CHECK(fleet.apply(upstream_announced{earlier}, test_start + 41s) == change_effect::outdated);
+    CHECK(fleet.find_upstream("one")->is_lapsed());
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 41s) == change_effect::applied);
+    CHECK_FALSE(fleet.find_upstream("one")->is_lapsed());
+}
+
+// Guards against the state of an upstream's earlier start replacing that of the running one, which counts anew.
+TEST_CASE("an announcement of an earlier start is outdated and one of a later start begins a new count") {
+    fleet_state fleet = make_fleet();
+    upstream_description description = make_upstream("one");
+    description.started_at = 100;
+    description.sequence = 50;
+    const upstream_description earlier = description;
+    fleet.apply(upstream_announced{description}, test_start);
+    description.started_at = 200;
+    description.sequence = 1;
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 1s) == change_effect::applied);
+    CHECK(fleet.apply(upstream_announced{earlier}, test_start + 2s) == change_effect::outdated);
+    CHECK(fleet.find_upstream("one")->description().started_at == 200);
+}
+
+// Guards against ignoring an upstream for good because its clock was set back or a wrong number was once written.
+TEST_CASE("the order of announcements is not trusted for longer than a write can be late") {
+    fleet_state fleet = make_fleet();
+    upstream_description description = make_upstream("one");
+    description.started_at = 200;
+    description.sequence = 1'000'000;
+    fleet.apply(upstream_announced{description}, test_start);
+    description.sequence = 7;
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 10s) == change_effect::outdated);
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 31s) != change_effect::outdated);
+    CHECK(fleet.find_upstream("one")->description().sequence == 7);
+    description.started_at = 100;
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 62s) == change_effect::applied);
+}
+
+TEST_CASE("announcements without a start time are taken as they come") {
+    fleet_state fleet = make_fleet();
+    upstream_description description = make_upstream("one");
+    description.started_at = 0;
+    description.sequence = 5;
+    fleet.apply(upstream_announced{description}, test_start);
+    description.sequence = 1;
+    description.is_draining = true;
+    CHECK(fleet.apply(upstream_announced{description}, test_start + 1s) == change_effect::applied);
+}
