Send from a stopping host only what can be answered before its exit

Cause: after SIGTERM requests were placed as if the process had no end, and connections that were busy when the idle ones were closed could begin requests until the exit. The listener stayed open for a part of the stop time, 4.7 s of 10 s. Evidence: under_way="10" in "stopped"; requests cut off by the exit left no line, so nothing said which they were. They now leave the line event="request" with status 0 and the reason.

Fix: the dispatcher asks stop_plan before each send as it does before each wait. A request is sent if its own time limit ends before the exit, or, while lookup answers still name the host, if three times its expected time fits; all others get a true 503.

A test destroyed a gateway while its handler still ran; it now waits like the test before it.

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -437,14 +437,21 @@
     m_runtime.sleep_for(plan.accepts_until() - boot_time_now());
     m_callers->close_idle();
 
-    constexpr auto check_period = std::chrono::milliseconds(20);
-    while (m_callers->active_requests() > 0 && boot_time_now() < plan.exits_at())
-        m_runtime.sleep_for(check_period);
+    wait_for_requests(plan.interrupts_at());
+    m_gateway.interrupt_attempts();
+    wait_for_requests(plan.exits_at());
+    m_gateway.log_cut_off();
     m_log.write(log_level::info, "stopped", field("under_way", m_gateway.in_progress()),
                 field("waiting", m_dispatcher.waiting()), field("taken", boot_time_now() - ordered_at));
     m_runtime.stop();
 }
 
+void gateway_process::wait_for_requests(time_point deadline) {
+    constexpr auto check_period = std::chrono::milliseconds(20);
+    while (m_callers->active_requests() > 0 && boot_time_now() < deadline)
+        m_runtime.sleep_for(check_period);
+}
+
 int run_gateway(const deployment_adapter& adapter) {
     std::signal(SIGPIPE, SIG_IGN);
     const auto source = adapter.read_settings();
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -83,6 +83,8 @@
     void reload_settings(std::string_view cause);
     void run_maintenance();
     void stop();
+    /// Returns when no request is in progress, or at the deadline.
+    void wait_for_requests(time_point deadline);
     bool is_ready() const;
 
     const deployment_adapter& m_adapter;
--- a/src/libraries/gateway/request_gateway.cpp
+++ b/src/libraries/gateway/request_gateway.cpp
@@ -48,6 +48,7 @@
 
     std::shared_ptr<attempt_canceller> canceller = std::make_shared<attempt_canceller>();
     bool caller_disconnected = false;
+    bool is_interrupted = false;          ///< The attempt was ended because this host exits.
     std::optional<waiting_ticket> ticket; ///< Set while the request is queued.
     std::shared_ptr<fiber_event> placed;  ///< Signalled when the wait in the queue ends.
 
@@ -83,11 +84,25 @@
 
 void request_gateway::handle(http_exchange& exchange) {
     request_context request(boot_time_now());
-    ++m_in_progress;
+    m_in_progress.insert(&request);
     if (admit(exchange, request) && read_body(exchange, request) && admit_account(exchange, request))
         forward_request(exchange, request);
     m_body_bytes -= request.held_bytes;
-    --m_in_progress;
+    m_in_progress.erase(&request);
+}
+
+void request_gateway::interrupt_attempts() {
+    for (request_context* request : m_in_progress) {
+        if (!request->running)
+            continue;
+        request->is_interrupted = true;
+        request->canceller->cancel();
+    }
+}
+
+void request_gateway::log_cut_off() {
+    for (const request_context* request : m_in_progress)
+        log_completion(*request, 0, "cut off by the exit of this host");
 }
 
 void request_gateway::wait_for_configuration(const request_context& request) {
@@ -392,7 +407,7 @@
 }
 
 bool request_gateway::may_retry(request_context& request) {
-    if (!request.is_open() || boot_time_now() >= request.answer_by)
+    if (!request.is_open() || request.is_interrupted || boot_time_now() >= request.answer_by)
         return false;
     switch (request.last.type) {
     case upstream_attempt::kind::answered:
@@ -431,7 +446,7 @@
     if (request.may_have_run) {
         const bool timed_out = request.last.type == upstream_attempt::kind::timed_out;
         send_refusal(exchange, request, timed_out ? http_status::gateway_timeout : http_status::bad_gateway,
-                     request.last.problem);
+                     request.is_interrupted ? "this host stopped before the response" : request.last.problem);
         return;
     }
     if (request.account != nullptr)
--- a/src/libraries/gateway/request_gateway.h
+++ b/src/libraries/gateway/request_gateway.h
@@ -12,6 +12,7 @@
 
 #include <map>
 #include <memory>
+#include <set>
 #include <vector>
 
 namespace ragworthinge {
@@ -65,7 +66,14 @@
     /// Objects that upstreams first handled for this host since the last call, for this host's report.
     std::vector<known_object> take_new_objects();
 
-    std::size_t in_progress() const noexcept { return m_in_progress; }
+    std::size_t in_progress() const noexcept { return m_in_progress.size(); }
+
+    /// Ends the attempts that are in progress, because the host is about to exit. Their callers learn that the request
+    /// may have run: after a closed connection they could take it for one that was never read.
+    void interrupt_attempts();
+
+    /// Logs the requests in progress, which the exit of the process cuts off.
+    void log_cut_off();
 
 private:
     struct request_context;
@@ -95,7 +103,7 @@
     traffic_splitter m_splitter;
     waiting_ticket m_last_ticket = 0;
     std::size_t m_body_bytes = 0;
-    std::size_t m_in_progress = 0;
+    std::set<request_context*> m_in_progress;
     std::vector<known_object> m_new_objects;
 };
 
--- a/src/libraries/gateway/upstream_client.cpp
+++ b/src/libraries/gateway/upstream_client.cpp
@@ -192,10 +192,10 @@
                     .connect_time = connect_time};
         connection = std::move(opened).value();
     }
-    // The caller may have disconnected while the connection was opened.
+    // The caller may have disconnected, or this host may exit, while the connection was opened.
     if (!canceller.may_send()) {
         keep_idle(description, std::move(connection), {});
-        return {.type = upstream_attempt::kind::unreachable, .problem = "the caller left"};
+        return {.type = upstream_attempt::kind::unreachable, .problem = "the request was cancelled before it was sent"};
     }
 
     canceller.attach(connection.get());
--- a/src/libraries/steering/request_dispatcher.cpp
+++ b/src/libraries/steering/request_dispatcher.cpp
@@ -5,6 +5,15 @@
 
 namespace ragworthinge {
 
+namespace {
+
+/// Time until the response to a request that is sent now.
+duration expected_time(const placement& placed) {
+    return placed.expected_wait + placed.expected_processing + placed.distance;
+}
+
+} // namespace
+
 request_dispatcher::request_dispatcher(request_dispatcher_options options, fleet_state& fleet,
                                        fleet_membership& membership)
     : m_options(std::move(options)), m_fleet(fleet), m_membership(membership), m_placements(m_options.placement) {}
@@ -22,7 +31,8 @@
     return refuse("this host is stopping", m_options.min_retry_after);
 }
 
-bool request_dispatcher::may_wait_here(const dispatch_request& request, duration expected, time_point now) const {
+bool request_dispatcher::can_be_answered_here(const dispatch_request& request, duration expected,
+                                              time_point now) const {
     return !m_stop || m_stop->allows(request.placement.answer_by, expected, now);
 }
 
@@ -69,6 +79,8 @@
         m_processing_times.estimate(request.placement.route->name, request.placement.route->target_latency);
     switch (decision.placed.kind) {
     case placement_kind::send:
+        if (!can_be_answered_here(request, expected_time(decision.placed), now))
+            return refuse_for_stop();
         decision.type = dispatch_decision::kind::send;
         return decision;
     case placement_kind::too_late:
@@ -82,7 +94,7 @@
     if (now + decision.expected_wait + typical.known_object > request.placement.answer_by)
         return refuse_overloaded("cold upstreams are at their rate limit for too long", request, decision.expected_wait,
                                  now);
-    if (!may_wait_here(request, decision.expected_wait + typical.known_object, now))
+    if (!can_be_answered_here(request, decision.expected_wait + typical.known_object, now))
         return refuse_for_stop();
     decision.type = dispatch_decision::kind::wait;
     return decision;
@@ -123,10 +135,12 @@
                 m_placements.choose(entry.request.placement, m_fleet, m_membership, m_processing_times, now);
             const processing_time typical = m_processing_times.estimate(entry.request.placement.route->name,
                                                                         entry.request.placement.route->target_latency);
-            if (decision.placed.kind == placement_kind::send)
-                decision.type = dispatch_decision::kind::send;
-            else if (!may_wait_here(entry.request, typical.known_object, now))
+            const duration expected =
+                decision.placed.kind == placement_kind::send ? expected_time(decision.placed) : typical.known_object;
+            if (!can_be_answered_here(entry.request, expected, now))
                 decision = refuse_for_stop();
+            else if (decision.placed.kind == placement_kind::send)
+                decision.type = dispatch_decision::kind::send;
             else if (decision.placed.kind == placement_kind::wait &&
                      now + typical.known_object <= entry.request.placement.answer_by)
                 continue;
--- a/src/libraries/steering/request_dispatcher.h
+++ b/src/libraries/steering/request_dispatcher.h
@@ -62,7 +62,7 @@
 
     void enqueue(waiting_ticket ticket, dispatch_request request, time_point now, outcome_handler on_outcome);
 
-    /// From now on requests wait only as far as the plan allows. Those that may no longer wait are refused at once.
+    /// From now on requests are sent and wait only as far as the plan allows; all others are refused at once.
     void begin_stop(const stop_plan& plan, time_point now);
 
     /// Removes a waiting request whose caller disconnected.
@@ -88,8 +88,8 @@
     dispatch_decision refuse(const char* reason, duration retry_after) const;
     dispatch_decision refuse_for_stop() const;
 
-    /// False if this host stops before the response that is expected after the given time.
-    bool may_wait_here(const dispatch_request& request, duration expected, time_point now) const;
+    /// False if this host may exit before the response that is expected after the given time.
+    bool can_be_answered_here(const dispatch_request& request, duration expected, time_point now) const;
 
     /// Refuses a request for lack of capacity, with a Retry-After that differs from those of other refused callers.
     dispatch_decision refuse_overloaded(const char* reason, const dispatch_request& request, duration earliest,
--- a/tests/end_to_end/platform_path_check.py
+++ b/tests/end_to_end/platform_path_check.py
@@ -33,7 +33,7 @@
 
 
 class entry_host:
-    def __init__(self, build, folder, name, store_port, output):
+    def __init__(self, build, folder, name, store_port, output, bounds=None):
         self.build, self.name, self.output = build, name, output
         self.callers, self.ready, self.lookups, self.peers, self.metrics = free_ports(5)
         self.settings = os.path.join(folder, name + ".json")
@@ -43,7 +43,8 @@
                                   "lookups": "127.0.0.1:%d" % self.lookups, "peers": "127.0.0.1:%d" % self.peers,
                                   "metrics": "127.0.0.1:%d" % self.metrics},
                        "store": "127.0.0.1:%d" % store_port,
-                       "failure_domains": [{"name": "gulf-a", "region": "gulf"}]}, file)
+                       "failure_domains": [{"name": "gulf-a", "region": "gulf"}],
+                       "bounds": bounds or {}}, file)
         self.start()
 
     def start(self):
--- a/tests/end_to_end/platform_stop_check.py
+++ b/tests/end_to_end/platform_stop_check.py
@@ -18,6 +18,7 @@
 from platform_path_check import check, entry_host, wait_until  # noqa: E402
 
 STOP_SECONDS = 6.0
+LONG_STOP_SECONDS = 10.0
 TIME_LIMIT_MS = 9000  # Of the routes and the callers: later than any exit.
 
 
@@ -96,31 +97,102 @@
           all(each.seconds < 0.5 + STOP_SECONDS / 2 for each in refused))
 
 
-SCENARIOS = [check_waiting_requests]
+def check_late_requests(host, store, upstreams):
+    """Guards against requests that arrive late in the stop and are passed on although their answer cannot come before
+    the exit: an upstream runs them, and their callers get a closed connection."""
+    for upstream in upstreams:
+        upstream.work_seconds = 2.5
+    slow_heads = [caller(host, "head-%d" % number) for number in range(4)]
+    slow_bodies = [caller(host, "body-%d" % number) for number in range(4)]
+
+    def send_head_slowly(one):
+        time.sleep(2.1)  # Connections are accepted until 2.8 s, and a head may take 3 s.
+        one.send([one.head()[:40], one.head()[40:]], pause=2.4)
+
+    def send_body_slowly(one):
+        time.sleep(1)
+        one.send([one.head(2000), b"b" * 1000, b"b" * 1000], pause=1.9)
+
+    host.process.send_signal(signal.SIGTERM)
+    threads = run_together([lambda one=one: send_head_slowly(one) for one in slow_heads] +
+                           [lambda one=one: send_body_slowly(one) for one in slow_bodies])
+    code = host.process.wait(STOP_SECONDS)
+    for thread in threads:
+        thread.join()
+    check("the host ends by itself with code 0", code == 0)
+    check_refusals(slow_heads + slow_bodies, upstreams)
+    check("every request that was read late is refused", all(each.outcome == 503 for each in slow_heads + slow_bodies))
+
+
+def check_long_stop(host, store, upstreams):
+    """Guards against a long stop time in which new requests are taken for a part of it, whatever they need."""
+    for upstream in upstreams:
+        upstream.work_seconds = 6.5
+    callers = [caller(host, "long-%d" % number) for number in range(6)]
+
+    def send_late(number, one):
+        time.sleep(4.0 + 0.1 * number)
+        one.send([one.head()])
+
+    host.process.send_signal(signal.SIGTERM)
+    threads = run_together([lambda number=number, one=one: send_late(number, one) for number, one in enumerate(callers)])
+    code = host.process.wait(LONG_STOP_SECONDS)
+    for thread in threads:
+        thread.join()
+    check("the host ends by itself with code 0", code == 0)
+    check_refusals(callers, upstreams)
+    check("nothing is taken that cannot be answered", all(each.outcome in (503, "refused connection") for each in callers))
+
+
+def check_interrupted_requests(host, store, upstreams):
+    """Guards against closed connections at the exit: a caller could take its request for one that was never read and
+    send it again, although an upstream works on it."""
+    for upstream in upstreams:
+        upstream.work_seconds = 8
+    callers = [caller(host, "interrupted-%d" % number) for number in range(4)]
+    threads = run_together([lambda one=one: one.send([one.head()]) for one in callers])
+    time.sleep(0.5)
+    host.process.send_signal(signal.SIGTERM)
+    code = host.process.wait(STOP_SECONDS)
+    for thread in threads:
+        thread.join()
+    check("the host ends by itself with code 0", code == 0)
+    check_refusals(callers, upstreams)
+    check("callers learn that their requests may have run", all(each.outcome == 502 for each in callers))
+
+
+SCENARIOS = [(check_waiting_requests, STOP_SECONDS), (check_late_requests, STOP_SECONDS),
+             (check_long_stop, LONG_STOP_SECONDS), (check_interrupted_requests, STOP_SECONDS)]
+
+
+def run_scenario(scenario, stop_seconds, configuration, build):
+    print(scenario.__name__)
+    store = platform_standin.kv_standin()
+    upstreams = [platform_standin.upstream_standin("i-%d" % number) for number in range(2)]
+    store.put("op/config", configuration)
+    for upstream in upstreams:
+        store.put("servers/" + upstream.name, upstream.entry())
+    with tempfile.TemporaryDirectory() as folder:
+        hosts = [entry_host(build, folder, "front-%d" % number, store.port, subprocess.DEVNULL,
+                            {"stop_time_s": stop_seconds}) for number in range(2)]
+        try:
+            wait_until("all hosts ready", 10, lambda: all(host.is_ready() for host in hosts))
+            time.sleep(1)
+            scenario(hosts[0], store, upstreams)
+        finally:
+            for host in hosts:
+                host.process.kill()
+                host.process.wait()
 
 
 def main():
     configuration = platform_standin.configuration(2, ["good-key"])
     for row in configuration["routes"]["rows"]:
         row[4] = TIME_LIMIT_MS
-    for scenario in SCENARIOS:
-        print(scenario.__name__)
-        store = platform_standin.kv_standin()
-        upstreams = [platform_standin.upstream_standin("i-%d" % number) for number in range(2)]
-        store.put("op/config", configuration)
-        for upstream in upstreams:
-            store.put("servers/" + upstream.name, upstream.entry())
-        with tempfile.TemporaryDirectory() as folder:
-            hosts = [entry_host(sys.argv[1], folder, "front-%d" % number, store.port, subprocess.DEVNULL)
-                     for number in range(2)]
-            try:
-                wait_until("all hosts ready", 10, lambda: all(host.is_ready() for host in hosts))
-                time.sleep(1)
-                scenario(hosts[0], store, upstreams)
-            finally:
-                for host in hosts:
-                    host.process.kill()
-                    host.process.wait()
+    chosen = sys.argv[2:] or [scenario.__name__ for scenario, _ in SCENARIOS]
+    for scenario, stop_seconds in SCENARIOS:
+        if scenario.__name__ in chosen:
+            run_scenario(scenario, stop_seconds, configuration, sys.argv[1])
 
 
 if __name__ == "__main__":
--- a/tests/gateway/request_gateway_test.cpp
+++ b/tests/gateway/request_gateway_test.cpp
@@ -381,6 +381,8 @@
                       }).value();
         std::swap(host.server, server);
         CHECK(host.send(host.make_request()).status == 503);
+        // The handler still runs after its caller has the response and must end before this gateway is destroyed.
+        host.runtime.sleep_for(50ms);
     });
 }
 
--- a/tests/steering/request_dispatcher_test.cpp
+++ b/tests/steering/request_dispatcher_test.cpp
@@ -127,3 +127,32 @@
     host.make_cold(plan.accepts_until());
     CHECK(host.dispatcher.decide(request, plan.accepts_until()).type == dispatch_decision::kind::refuse);
 }
+
+// Guards against requests that a stopping host passes on and cuts off at its exit, because they take far longer than
+// expected.
+TEST_CASE("a stopping host sends only requests that end before its exit") {
+    dispatcher_fixture host;
+    const stop_plan plan(test_start, 6s);
+    host.dispatcher.begin_stop(plan, test_start);
+    const auto decide = [&](time_point answer_by, time_point now) {
+        return host.dispatcher.decide(host.make_dispatch_request(answer_by), now);
+    };
+    const time_point late = plan.accepts_until();
+    CHECK(decide(test_start + 8s, test_start).type == dispatch_decision::kind::send);
+    CHECK(decide(test_start + 8s, late).type == dispatch_decision::kind::refuse);
+    CHECK(decide(test_start + 8s, late).reason == std::string("this host is stopping"));
+    CHECK(decide(late + 2s, late).type == dispatch_decision::kind::send);
+}
+
+// Guards against waiting requests that get an upstream shortly before the exit.
+TEST_CASE("a waiting request is not sent when its response would come after the exit") {
+    dispatcher_fixture host;
+    host.make_cold(test_start);
+    host.enqueue(1, test_start + 8s, test_start);
+    const stop_plan plan(test_start, 6s);
+    host.dispatcher.begin_stop(plan, test_start);
+    // The rate limit of the cold upstream has room again.
+    host.dispatcher.serve_waiting(plan.accepts_until());
+    REQUIRE(host.outcomes.size() == 1);
+    CHECK(host.outcomes[1].type == dispatch_decision::kind::refuse);
+}
