Obey upstreams that say that they leave or ask for quiet

Upstreams say in all their responses that they leave, and may add Retry-After to a 503 with which they reject a request. Nothing read either, so a host went on sending to an upstream that leaves until it read the registry, and to one that wanted no requests.

upstream_signals reads both from the head of any response, also one that breaks off afterwards or belongs to another request. The upstream then gets nothing from this host: until a later start if it leaves, for the time that it asked for otherwise. The registry does not undo this, neither by an entry of the same start nor after the entry was removed or lapsed. A connection that was being opened meanwhile is not used. When all usable upstreams are quiet, callers are refused at once with the time until the first of them accepts requests, spread over the callers. Values that are not a finite number of seconds are logged and ignored. The adapter knows the name of the header field; callers do not get it.

Other hosts are not told: their own responses and the registry tell them, and the bound is one for each host.

--- a/src/libraries/gateway/caller_request.cpp
+++ b/src/libraries/gateway/caller_request.cpp
@@ -116,8 +116,9 @@
     http_response_head answer;
     answer.status = head.status;
     for (const http_field& field : head.fields.entries()) {
-        const bool is_load = equal_field_names(field.name, field_names.upstream_load);
-        if (!is_load && !is_hop_by_hop(head.fields, field.name))
+        const bool concerns_upstream = equal_field_names(field.name, field_names.upstream_load) ||
+                                       equal_field_names(field.name, field_names.leaving);
+        if (!concerns_upstream && !is_hop_by_hop(head.fields, field.name))
             answer.fields.add(field.name, field.value);
     }
     return answer;
--- a/src/libraries/gateway/caller_request.h
+++ b/src/libraries/gateway/caller_request.h
@@ -30,7 +30,8 @@
 http_request_head make_upstream_head(const http_request_head& head, const header_field_names& field_names,
                                      std::size_t body_size);
 
-/// Returns the response head for the caller, without hop-by-hop fields and the upstream's load.
+/// Returns the response head for the caller, without hop-by-hop fields and what the upstream says of itself: its load
+/// and that it leaves.
 http_response_head make_caller_head(const http_response_head& head, const header_field_names& field_names);
 
 /// Hash of method, target, account and body. Recognizes a repeated request that crashed its upstream before.
--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -211,6 +211,8 @@
     m_metrics.set("ragworthinge_store_contact_age_seconds", {},
                   std::chrono::duration<double>(m_synchronizer->contact_age(boot_time_now())).count());
     m_metrics.set("ragworthinge_connections_opened", {}, static_cast<double>(m_client.connections_opened()));
+    m_metrics.set("ragworthinge_upstream_leaving_responses", {}, static_cast<double>(m_client.leaving_responses()));
+    m_metrics.set("ragworthinge_upstream_quiet_responses", {}, static_cast<double>(m_client.quiet_responses()));
     m_metrics.set("ragworthinge_peer_bytes", {}, static_cast<double>(m_exchange.bytes_transferred()));
     m_metrics.set("ragworthinge_members", {}, static_cast<double>(m_membership.size()));
     respond_with_text(exchange, http_status::ok, "text/plain", m_metrics.to_prometheus_text());
--- a/src/libraries/gateway/header_field_names.h
+++ b/src/libraries/gateway/header_field_names.h
@@ -15,6 +15,7 @@
     std::string not_run;           ///< Present in responses to requests that the upstream did not execute.
     std::string upstream_load;     ///< Running requests, queued requests and slots, separated by commas.
     std::string receipt;           ///< Proves that the response was produced by an upstream.
+    std::string leaving;           ///< "1" in each response of an upstream that is about to stop.
 };
 
 } // namespace ragworthinge
--- a/src/libraries/gateway/upstream_client.cpp
+++ b/src/libraries/gateway/upstream_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/boot_clock.h"
 #include "base/http_status.h"
+#include "gateway/upstream_signals.h"
 #include "net/fiber_runtime.h"
 
 #include <algorithm>
@@ -197,9 +198,16 @@
         keep_idle(description, std::move(connection), {});
         return {.type = upstream_attempt::kind::unreachable, .problem = "the request was cancelled before it was sent"};
     }
+    // A response to another request may have said so while the connection was opened.
+    if (!upstream->accepts_requests(boot_time_now())) {
+        keep_idle(description, std::move(connection), {});
+        return {.type = upstream_attempt::kind::unreachable,
+                .problem = "the upstream leaves or asked for quiet",
+                .connect_time = connect_time};
+    }
 
     canceller.attach(connection.get());
-    upstream_attempt attempt = exchange(*connection, request, deadline);
+    upstream_attempt attempt = exchange(*connection, upstream, request, deadline);
     attempt.connect_time = connect_time;
     canceller.attach(nullptr);
     const bool is_complete =
@@ -209,8 +217,31 @@
     return attempt;
 }
 
-upstream_attempt upstream_client::exchange(http_connection& connection, const outgoing_request& request,
-                                           time_point deadline) {
+void upstream_client::record_signals(observed_upstream& upstream, const http_response_head& head,
+                                     const request_id& request) {
+    const upstream_signals signals = read_upstream_signals(head, m_field_names);
+    const upstream_id& id = upstream.description().id;
+    if (signals.is_leaving) {
+        ++m_leaving_responses;
+        if (!upstream.is_leaving())
+            m_log.write(log_level::info, "upstream_leaving", field("upstream", id), field("request", request),
+                        field("status", head.status), field("until", "a later start"));
+        upstream.mark_leaving();
+    }
+    if (signals.quiet_time) {
+        ++m_quiet_responses;
+        upstream.mark_quiet(boot_time_now() + *signals.quiet_time);
+        m_log.write(log_level::info, "upstream_quiet", field("upstream", id), field("request", request),
+                    field("asked_for", *signals.quiet_time), field("until", upstream.quiet_until() - boot_time_now()));
+    }
+    if (!signals.problem.empty())
+        m_log.write(log_level::warn, "retry_after_ignored", field("upstream", id), field("request", request),
+                    field("cause", signals.problem));
+}
+
+upstream_attempt upstream_client::exchange(http_connection& connection,
+                                           const std::shared_ptr<observed_upstream>& upstream,
+                                           const outgoing_request& request, time_point deadline) {
     const auto fail = [&](const error& cause, bool response_started) {
         const bool timed_out = cause.code == error_code::timeout && monotonic_clock::now() >= deadline;
         upstream_attempt attempt;
@@ -232,6 +263,7 @@
         auto head = connection.read_head();
         if (!head)
             return fail(head.error(), skipped > 0);
+        record_signals(*upstream, head.value(), request.id);
         byte_reservation memory(m_response_memory);
         auto body = read_response_body(connection, memory, deadline);
         if (!body)
--- a/src/libraries/gateway/upstream_client.h
+++ b/src/libraries/gateway/upstream_client.h
@@ -120,6 +120,10 @@
 
     std::uint64_t connections_opened() const noexcept { return m_connections_opened; }
 
+    /// Number of responses whose upstream said that it leaves, and of rejections that asked for quiet.
+    std::uint64_t leaving_responses() const noexcept { return m_leaving_responses; }
+    std::uint64_t quiet_responses() const noexcept { return m_quiet_responses; }
+
 private:
     struct idle_connection {
         std::unique_ptr<http_connection> connection;
@@ -142,7 +146,10 @@
     void keep_idle(const upstream_description& description, std::unique_ptr<http_connection> connection,
                    const http_response_head& head);
     void start_recovery(const std::shared_ptr<observed_upstream>& upstream, duration pause);
-    upstream_attempt exchange(http_connection& connection, const outgoing_request& request, time_point deadline);
+    upstream_attempt exchange(http_connection& connection, const std::shared_ptr<observed_upstream>& upstream,
+                              const outgoing_request& request, time_point deadline);
+    /// Applies what the upstream says of itself in the head of a response, whatever becomes of the response.
+    void record_signals(observed_upstream& upstream, const http_response_head& head, const request_id& request);
     result<std::string> read_response_body(http_connection& connection, byte_reservation& memory, time_point deadline);
     upstream_attempt classify_response(http_response_head head, std::string body) const;
 
@@ -154,6 +161,8 @@
     connect_time_handler m_on_connect_time;
     std::map<upstream_id, idle_connection_pool> m_pools;
     std::uint64_t m_connections_opened = 0;
+    std::uint64_t m_leaving_responses = 0;
+    std::uint64_t m_quiet_responses = 0;
 };
 
 } // namespace ragworthinge
--- a/src/libraries/steering/fleet_state.cpp
+++ b/src/libraries/steering/fleet_state.cpp
@@ -35,14 +35,32 @@
 }
 
 void fleet_state::record_announcement(const upstream_description& description, time_point now) {
-    m_announcements[description.id] = {
-        .started_at = description.started_at, .sequence = description.sequence, .changed_at = now};
+    last_announcement& last = m_announcements[description.id];
+    if (last.started_at != description.started_at)
+        last = {};
+    last.started_at = description.started_at;
+    last.sequence = description.sequence;
+    last.changed_at = now;
+    last.is_withdrawn = false;
+}
+
+void fleet_state::restore_request_ban(observed_upstream& upstream) const {
+    const auto last = m_announcements.find(upstream.description().id);
+    if (last == m_announcements.end() || last->second.started_at != upstream.description().started_at)
+        return;
+    if (last->second.is_leaving)
+        upstream.mark_leaving();
+    upstream.mark_quiet(last->second.quiet_until);
 }
 
 void fleet_state::record_withdrawal(const upstream_id& id, time_point now) {
     if (const auto last = m_announcements.find(id); last != m_announcements.end()) {
         last->second.changed_at = now;
         last->second.is_withdrawn = true;
+        if (const auto upstream = find_upstream(id)) {
+            last->second.is_leaving = upstream->is_leaving();
+            last->second.quiet_until = upstream->quiet_until();
+        }
     }
 }
 
@@ -55,6 +73,7 @@
     const region_id region = region_of(description.failure_domain);
     if (state == nullptr) {
         state = std::make_shared<observed_upstream>(description, region, now, m_options.upstreams);
+        restore_request_ban(*state);
         return change_effect::applied;
     }
     const upstream_description& known = state->description();
@@ -108,7 +127,10 @@
 
 std::vector<upstream_id> fleet_state::drop_expired(time_point now) {
     std::erase_if(m_announcements, [&](const auto& entry) {
-        return entry.second.is_withdrawn && now - entry.second.changed_at >= m_options.late_write_time;
+        const last_announcement& last = entry.second;
+        const bool has_ban = last.is_leaving || last.quiet_until > now;
+        return last.is_withdrawn &&
+               now - last.changed_at >= (has_ban ? m_options.request_ban_memory : m_options.late_write_time);
     });
     std::vector<upstream_id> dropped;
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
--- a/src/libraries/steering/fleet_state.h
+++ b/src/libraries/steering/fleet_state.h
@@ -21,6 +21,9 @@
     /// write whose response was lost some seconds late. After it, the upstream's own statements about the order are not
     /// trusted: its clock may have been set back, or another writer may have left a wrong number.
     duration late_write_time = std::chrono::seconds(30);
+    /// Time for which it is known of an upstream without an entry that it leaves or wants no requests. Upstreams that
+    /// leave serve on for seconds.
+    duration request_ban_memory = std::chrono::minutes(10);
 };
 
 /// Effect of a change, for the log.
@@ -83,10 +86,13 @@
         std::int64_t sequence = 0;
         time_point changed_at; ///< When it, or the removal of its entry, was applied.
         bool is_withdrawn = false;
+        bool is_leaving = false; ///< The upstream said so itself before its entry was removed.
+        time_point quiet_until;
     };
 
     region_id region_of(const failure_domain_id& domain) const;
     bool is_outdated(const upstream_description& description, time_point now) const;
+    void restore_request_ban(observed_upstream& upstream) const;
     void record_announcement(const upstream_description& description, time_point now);
     void record_withdrawal(const upstream_id& id, time_point now);
 
--- a/src/libraries/steering/observed_upstream.cpp
+++ b/src/libraries/steering/observed_upstream.cpp
@@ -41,6 +41,8 @@
     m_slowdown = 1;
     m_failure_ratio = 0;
     m_others_in_flight = 0;
+    m_is_leaving = false;
+    m_quiet_until = time_point();
     record_reachable();
 }
 
@@ -49,8 +51,8 @@
         m_usable_until = return_time + m_options.lapse_grace;
 }
 
-bool observed_upstream::is_usable(time_point now) const noexcept {
-    return !m_description.is_draining && !m_is_replaced && !is_expired(now) && !is_paused(now);
+bool observed_upstream::is_usable_except_quiet(time_point now) const noexcept {
+    return !m_description.is_draining && !m_is_leaving && !m_is_replaced && !is_expired(now) && !is_paused(now);
 }
 
 void observed_upstream::set_cold(duration remaining, time_point now) {
--- a/src/libraries/steering/observed_upstream.h
+++ b/src/libraries/steering/observed_upstream.h
@@ -4,6 +4,7 @@
 #include "steering/fleet_change.h"
 #include "steering/sliding_window.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <list>
 #include <optional>
@@ -67,12 +68,31 @@
 
     bool is_replaced() const noexcept { return m_is_replaced; }
 
+    /// Marks that the upstream itself has said that it leaves. Only a later incarnation gets requests again, whatever
+    /// the registry says of this one.
+    void mark_leaving() noexcept { m_is_leaving = true; }
+
+    bool is_leaving() const noexcept { return m_is_leaving; }
+
+    /// Marks that the upstream wants no requests of this host until the given time. A shorter time does not end a
+    /// longer one; only a later incarnation does.
+    void mark_quiet(time_point until) noexcept { m_quiet_until = std::max(m_quiet_until, until); }
+
+    time_point quiet_until() const noexcept { return m_quiet_until; }
+    bool is_quiet(time_point now) const noexcept { return now < m_quiet_until; }
+
+    /// Whether the upstream itself lets this host send requests now.
+    bool accepts_requests(time_point now) const noexcept { return !m_is_leaving && !is_quiet(now); }
+
     /// Whether the grace period of a lapsed entry has passed.
     bool is_expired(time_point now) const noexcept { return m_usable_until && *m_usable_until <= now; }
 
-    /// Whether new requests may be sent: not draining, not expired, not replaced, and not paused after a failed
-    /// connection attempt.
-    bool is_usable(time_point now) const noexcept;
+    /// Whether new requests may be sent: not draining or leaving, not expired, not replaced, not quiet, and not paused
+    /// after a failed connection attempt.
+    bool is_usable(time_point now) const noexcept { return is_usable_except_quiet(now) && !is_quiet(now); }
+
+    /// The same for an upstream that may be quiet.
+    bool is_usable_except_quiet(time_point now) const noexcept;
 
     bool is_cold(time_point now) const noexcept { return now < m_cold_until; }
     void set_cold(duration remaining, time_point now);
@@ -121,6 +141,8 @@
     time_point m_cold_until;
     std::optional<time_point> m_usable_until;
     bool m_is_replaced = false;
+    bool m_is_leaving = false;
+    time_point m_quiet_until;
     std::list<running_attempt> m_running;
     double m_others_in_flight = 0;
     double m_slowdown = 1;
--- a/src/libraries/steering/placement_policy.cpp
+++ b/src/libraries/steering/placement_policy.cpp
@@ -89,8 +89,12 @@
 
     candidate_list list;
     for (auto& upstream : fleet.upstreams_of(request.service)) {
-        if (!upstream->is_usable(now) || !is_allowed(*upstream, request))
+        if (!upstream->is_usable_except_quiet(now) || !is_allowed(*upstream, request))
             continue;
+        if (upstream->is_quiet(now)) {
+            list.quiet_until = std::min(list.quiet_until.value_or(time_point::max()), upstream->quiet_until());
+            continue;
+        }
         if (!m_cold_start_limiter.allows(*upstream, cold_rate, membership, now)) {
             list.any_rate_limited = true;
             continue;
@@ -197,6 +201,7 @@
         best = local_option;
     }
     best.candidates = list.ranked.size();
+    best.quiet_until = list.quiet_until;
     if (!best_cost && list.any_rate_limited)
         best.kind = placement_kind::wait;
     else if (!best_cost)
--- a/src/libraries/steering/placement_policy.h
+++ b/src/libraries/steering/placement_policy.h
@@ -80,7 +80,8 @@
     duration distance{0};
     double load = 0; ///< Requests that the upstream was believed to have when it was chosen.
     bool knows_object = false;
-    std::size_t candidates = 0; ///< Number of usable upstreams that were compared.
+    std::size_t candidates = 0;            ///< Number of usable upstreams that were compared.
+    std::optional<time_point> quiet_until; ///< When the first of the upstreams that asked for quiet may get requests.
 };
 
 /// Hash that identifies an object of a route. An upstream that has handled an object for one route has to load it again
@@ -124,7 +125,8 @@
     /// Best rank first.
     struct candidate_list {
         std::vector<candidate> ranked;
-        bool any_rate_limited = false; ///< Whether a cold upstream was excluded by its rate limit.
+        bool any_rate_limited = false;         ///< Whether a cold upstream was excluded by its rate limit.
+        std::optional<time_point> quiet_until; ///< When the first upstream that was excluded as quiet may get requests.
     };
 
     candidate_list list_candidates(const placement_request& request, const fleet_state& fleet,
--- a/src/libraries/steering/request_dispatcher.cpp
+++ b/src/libraries/steering/request_dispatcher.cpp
@@ -63,6 +63,17 @@
     return refusal;
 }
 
+dispatch_decision request_dispatcher::refuse_unusable(const placement& placed, const dispatch_request& request,
+                                                      time_point now) {
+    if (!placed.quiet_until)
+        return refuse("no upstream is usable", m_options.min_retry_after);
+    const duration quiet_time = *placed.quiet_until - now;
+    dispatch_decision refusal = refuse_overloaded("all usable upstreams asked for quiet", request, quiet_time, now);
+    // An earlier return would be refused again, so the maximum of other refusals does not apply.
+    refusal.retry_after = std::max(refusal.retry_after, quiet_time);
+    return refusal;
+}
+
 duration request_dispatcher::expected_queue_wait(const dispatch_request& request) const {
     const auto queue = m_queues.find(request.placement.service);
     const std::size_t ahead = queue == m_queues.end() ? 0 : queue->second.count_ahead_of(request.priority);
@@ -86,7 +97,7 @@
     case placement_kind::too_late:
         return refuse_overloaded("no upstream can answer in time", request, decision.placed.expected_wait, now);
     case placement_kind::no_upstream:
-        return refuse("no upstream is usable", m_options.min_retry_after);
+        return refuse_unusable(decision.placed, request, now);
     case placement_kind::wait:
         break;
     }
@@ -144,6 +155,8 @@
             else if (decision.placed.kind == placement_kind::wait &&
                      now + typical.known_object <= entry.request.placement.answer_by)
                 continue;
+            else if (decision.placed.kind == placement_kind::no_upstream)
+                decision = refuse_unusable(decision.placed, entry.request, now);
             else
                 decision = refuse_overloaded("no upstream took the request in time", entry.request,
                                              m_options.min_retry_after, now);
--- a/src/libraries/steering/request_dispatcher.h
+++ b/src/libraries/steering/request_dispatcher.h
@@ -91,6 +91,10 @@
     /// False if this host may exit before the response that is expected after the given time.
     bool can_be_answered_here(const dispatch_request& request, duration expected, time_point now) const;
 
+    /// Refuses a request because no upstream is usable. If some only asked for quiet, Retry-After is the time until the
+    /// first of them may get requests, spread over the refused callers.
+    dispatch_decision refuse_unusable(const placement& placed, const dispatch_request& request, time_point now);
+
     /// Refuses a request for lack of capacity, with a Retry-After that differs from those of other refused callers.
     dispatch_decision refuse_overloaded(const char* reason, const dispatch_request& request, duration earliest,
                                         time_point now);
--- a/tests/gateway/gateway_fixture.h
+++ b/tests/gateway/gateway_fixture.h
@@ -28,7 +28,8 @@
                                                  .expected_upstream = "X-Expect",
                                                  .not_run = "X-Not-Run",
                                                  .upstream_load = "X-Load",
-                                                 .receipt = "X-Receipt"};
+                                                 .receipt = "X-Receipt",
+                                                 .leaving = "X-Leaving"};
 
 /// The response that a caller received.
 struct received_response {
--- a/tests/steering/fleet_state_test.cpp
+++ b/tests/steering/fleet_state_test.cpp
@@ -171,3 +171,44 @@
     description.is_draining = true;
     CHECK(fleet.apply(upstream_announced{description}, test_start + 1s) == change_effect::applied);
 }
+
+// Guards against requests to an upstream that has said that it leaves: its entry is older, was removed and put back, or
+// lapsed in a store outage.
+TEST_CASE("an upstream that says that it leaves gets no requests until a later start") {
+    fleet_state fleet = make_fleet();
+    upstream_description description = make_upstream("one");
+    fleet.apply(upstream_announced{description}, test_start);
+    fleet.find_upstream("one")->mark_leaving();
+    CHECK_FALSE(fleet.find_upstream("one")->is_usable(test_start));
+
+    description.sequence = 1;
+    fleet.apply(upstream_announced{description}, test_start + 1s);
+    CHECK_FALSE(fleet.find_upstream("one")->is_usable(test_start + 1s));
+    fleet.mark_lapsed("one", test_start + 2s);
+    fleet.drop_expired(test_start + 5s);
+    REQUIRE(fleet.find_upstream("one") == nullptr);
+    fleet.drop_expired(test_start + 60s);
+    description.sequence = 2;
+    fleet.apply(upstream_announced{description}, test_start + 60s);
+    CHECK_FALSE(fleet.find_upstream("one")->is_usable(test_start + 60s));
+    description.started_at += 1;
+    fleet.apply(upstream_announced{description}, test_start + 61s);
+    CHECK(fleet.find_upstream("one")->is_usable(test_start + 61s));
+}
+
+TEST_CASE("an upstream that asked for quiet gets no requests until the longest time has passed") {
+    fleet_state fleet = make_fleet();
+    upstream_description description = make_upstream("one");
+    fleet.apply(upstream_announced{description}, test_start);
+    fleet.find_upstream("one")->mark_quiet(test_start + 20s);
+    fleet.find_upstream("one")->mark_quiet(test_start + 2s);
+    CHECK_FALSE(fleet.find_upstream("one")->is_usable(test_start + 19s));
+    CHECK(fleet.find_upstream("one")->is_usable(test_start + 20s));
+    fleet.apply(upstream_withdrawn{"one"}, test_start + 1s);
+    description.sequence = 1;
+    fleet.apply(upstream_announced{description}, test_start + 3s);
+    CHECK_FALSE(fleet.find_upstream("one")->is_usable(test_start + 19s));
+    description.started_at += 1;
+    fleet.apply(upstream_announced{description}, test_start + 4s);
+    CHECK(fleet.find_upstream("one")->is_usable(test_start + 4s));
+}
--- a/tests/steering/request_dispatcher_test.cpp
+++ b/tests/steering/request_dispatcher_test.cpp
@@ -156,3 +156,45 @@
     REQUIRE(host.outcomes.size() == 1);
     CHECK(host.outcomes[1].type == dispatch_decision::kind::refuse);
 }
+
+// Guards against callers that are told to return while all upstreams still want no requests, and against all of them
+// returning at the same time.
+TEST_CASE("while all upstreams are quiet, requests are refused until the first of them accepts requests") {
+    dispatcher_fixture host;
+    host.fleet.apply(upstream_announced{make_upstream("two")}, test_start);
+    host.fleet.find_upstream("one")->mark_quiet(test_start + 20s);
+    CHECK(host.dispatcher.decide(host.make_dispatch_request(test_start + 1s), test_start).type ==
+          dispatch_decision::kind::send);
+    host.fleet.find_upstream("two")->mark_quiet(test_start + 2s);
+    const auto refuse = [&](time_point now) {
+        const dispatch_decision decision = host.dispatcher.decide(host.make_dispatch_request(now + 8s), now);
+        CHECK(decision.type == dispatch_decision::kind::refuse);
+        CHECK(decision.reason == std::string("all usable upstreams asked for quiet"));
+        return decision.retry_after;
+    };
+    const duration first = refuse(test_start);
+    CHECK(first >= 2s);
+    CHECK(refuse(test_start) > first);
+    host.fleet.find_upstream("two")->mark_quiet(test_start + 10s);
+    CHECK(refuse(test_start) >= 10s);
+    CHECK(host.dispatcher.decide(host.make_dispatch_request(test_start + 18s), test_start + 10s).type ==
+          dispatch_decision::kind::send);
+}
+
+TEST_CASE("a waiting request is refused at once when the last upstream leaves or asks for quiet") {
+    for (const bool leaves : {true, false}) {
+        dispatcher_fixture host;
+        host.make_cold(test_start);
+        host.enqueue(1, test_start + 8s, test_start);
+        host.dispatcher.serve_waiting(test_start);
+        REQUIRE(host.dispatcher.waiting() == 1);
+        if (leaves)
+            host.fleet.find_upstream("one")->mark_leaving();
+        else
+            host.fleet.find_upstream("one")->mark_quiet(test_start + 5s);
+        host.dispatcher.serve_waiting(test_start + 50ms);
+        CHECK(host.dispatcher.waiting() == 0);
+        CHECK(host.outcomes[1].type == dispatch_decision::kind::refuse);
+        CHECK(host.outcomes[1].retry_after >= (leaves ? duration(100ms) : duration(4950ms)));
+    }
+}
