--- a/src/libraries/steering/fleet_change.h
+++ b/src/libraries/steering/fleet_change.h
@@ -18,8 +18,8 @@
     failure_domain_id failure_domain;
     unsigned slots = 1; ///< Number of requests that it processes concurrently.
     bool is_draining = false;
-    std::int64_t started_at =
-        0; ///< Wall-clock time of its start in milliseconds; changes with each start. Zero: unknown.
+    /// Wall-clock time of its start in milliseconds; changes with each start. Zero if it is unknown.
+    std::int64_t started_at = 0;
     std::int64_t sequence = 0; ///< Number of the announcement; increases within one incarnation.
     std::chrono::milliseconds cold_remaining{
         0}; ///< Time until it reaches full speed, counted from when the entry was written.
