Check signals of upstreams with real processes

platform_path_check: an upstream says that it leaves and announces that it is ready afterwards, and all upstreams ask for quiet. The stand-in of an upstream can send both.

--- a/tests/end_to_end/platform_path_check.py
+++ b/tests/end_to_end/platform_path_check.py
@@ -147,6 +147,38 @@
     wait_until("the host writes its record again", 4, lambda: key in store.items)
 
 
+def check_signals(store, host, upstreams):
+    """Guards against requests to an upstream that says in its answers that it leaves or wants none for a time."""
+    def ask(name):
+        return [host.ask("%s-%d" % (name, number))[0] for number in range(10)]
+
+    ask("find")
+    leaving = max(upstreams, key=lambda upstream: upstream.runs[-1][0] if upstream.runs else 0)
+    leaving.extra_fields = [("Server-Leaving", "1")]
+    check("an answer that says that its upstream leaves is passed on", host.ask("leaving")[0] == 200)
+    before = len(leaving.runs)
+    store.put("servers/" + leaving.name, leaving.entry("ready", sequence=7))
+    time.sleep(DRAIN_SECONDS)
+    check("requests are served by others", ask("left") == [200] * 10)
+    check("an upstream that says that it leaves gets nothing more, whatever its entry says", len(leaving.runs) == before)
+    leaving.extra_fields = []
+    store.put("servers/" + leaving.name, leaving.entry("ready", sequence=1, born=1700000100000))
+    time.sleep(DRAIN_SECONDS)
+
+    for upstream in upstreams:
+        upstream.quiet_seconds = 3.0
+    check("requests are refused while all upstreams want quiet", ask("quiet") == [503] * 10)
+    time.sleep(0.6)
+    started = time.monotonic()
+    check("they are refused for the whole time", ask("still") == [503] * 10)
+    check("no upstream that wants quiet gets a request", not [at for upstream in upstreams
+                                                              for at in upstream.rejected if at > started])
+    for upstream in upstreams:
+        upstream.quiet_seconds = None
+    time.sleep(3)
+    check("requests are served after the quiet time", ask("served") == [200] * 10)
+
+
 def check_outage(store, hosts):
     store.is_down = True
     time.sleep(3)
@@ -227,6 +259,7 @@
             check_serving(hosts, upstreams)
             check_changes(store, hosts, upstreams)
             check_lost_record(store, hosts)
+            check_signals(store, hosts[0], upstreams)
             check_outage(store, hosts)
             check_blocked_output(hosts[2])
             status, body = hosts[0].get(hosts[0].metrics, "/metrics")
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -156,6 +156,9 @@
         self.runs = []
         self.heads = []
         self.work_seconds = work_seconds
+        self.extra_fields = []  # Header fields of each answer.
+        self.quiet_seconds = None  # Rejects requests and asks for no others for this long.
+        self.rejected = []
         upstream = self
 
         class handler(json_handler):
@@ -164,12 +167,16 @@
                 request_id = self.headers["Ragworthinge-Request-Id"]
                 if self.headers["Ragworthinge-Expect-Instance"] != upstream.name:
                     return self.reply(421, None, [("Ragworthinge-Request-Id", request_id)])
+                if upstream.quiet_seconds is not None:
+                    upstream.rejected.append(time.monotonic())
+                    return self.reply(503, None, [("Ragworthinge-Request-Id", request_id), ("Ragworthinge-Not-Run", "1"),
+                                                  ("Retry-After", "%.1f" % upstream.quiet_seconds)])
                 upstream.runs.append((time.monotonic(), request_id))
                 upstream.heads.append(dict(self.headers.items()))
                 time.sleep(upstream.work_seconds)
                 self.reply(200, {"by": upstream.name, "for": request_id},
                            [("Ragworthinge-Request-Id", request_id), ("Ragworthinge-Server-Stamp", "stamp"),
-                            ("Ragworthinge-Server-Load", "0,0,8")])
+                            ("Ragworthinge-Server-Load", "0,0,8")] + upstream.extra_fields)
 
             do_POST = do_GET
 
