--- a/tests/end_to_end/platform_stop_check.py
+++ b/tests/end_to_end/platform_stop_check.py
@@ -64,6 +64,14 @@
     return threads
 
 
+def wait_for_exit(host, limit, threads):
+    """Waits for a host that was told to stop, and for its callers."""
+    code = host.process.wait(limit)
+    for thread in threads:
+        thread.join()
+    check("the host ends by itself with code 0", code == 0)
+
+
 def check_refusals(callers, upstreams):
     """A refused request has not run; every other request has a response."""
     ran = {request_id for upstream in upstreams for _, request_id in upstream.runs}
@@ -86,10 +94,7 @@
     threads = run_together([lambda one=one: one.send([one.head()]) for one in callers])
     time.sleep(0.5)
     host.process.send_signal(signal.SIGTERM)
-    code = host.process.wait(STOP_SECONDS)
-    for thread in threads:
-        thread.join()
-    check("the host ends by itself with code 0", code == 0)
+    wait_for_exit(host, STOP_SECONDS, threads)
     refused = check_refusals(callers, upstreams)
     check("every waiting request is answered", all(each.outcome in (200, 503) for each in callers))
     check("requests still waited when the host had to refuse them", len(refused) > 5)
@@ -116,10 +121,7 @@
     host.process.send_signal(signal.SIGTERM)
     threads = run_together([lambda one=one: send_head_slowly(one) for one in slow_heads] +
                            [lambda one=one: send_body_slowly(one) for one in slow_bodies])
-    code = host.process.wait(STOP_SECONDS)
-    for thread in threads:
-        thread.join()
-    check("the host ends by itself with code 0", code == 0)
+    wait_for_exit(host, STOP_SECONDS, threads)
     check_refusals(slow_heads + slow_bodies, upstreams)
     check("every request that was read late is refused", all(each.outcome == 503 for each in slow_heads + slow_bodies))
 
@@ -136,10 +138,7 @@
 
     host.process.send_signal(signal.SIGTERM)
     threads = run_together([lambda number=number, one=one: send_late(number, one) for number, one in enumerate(callers)])
-    code = host.process.wait(LONG_STOP_SECONDS)
-    for thread in threads:
-        thread.join()
-    check("the host ends by itself with code 0", code == 0)
+    wait_for_exit(host, LONG_STOP_SECONDS, threads)
     check_refusals(callers, upstreams)
     check("nothing is taken that cannot be answered", all(each.outcome in (503, "refused connection") for each in callers))
 
@@ -153,10 +152,7 @@
     threads = run_together([lambda one=one: one.send([one.head()]) for one in callers])
     time.sleep(0.5)
     host.process.send_signal(signal.SIGTERM)
-    code = host.process.wait(STOP_SECONDS)
-    for thread in threads:
-        thread.join()
-    check("the host ends by itself with code 0", code == 0)
+    wait_for_exit(host, STOP_SECONDS, threads)
     check_refusals(callers, upstreams)
     check("callers learn that their requests may have run", all(each.outcome == 502 for each in callers))
 
