Date a stop by the last turn that did not see the signal

Requests sent whole later than 3 s after SIGTERM were passed on, run by an upstream and ended with a closed connection.

Cause: gateway_process::stop dated the order by the time at which its fiber ran, and every bound of stop_plan follows from that time. A process without processor time at that moment accepts requests too long and plans its exit after the platform has killed it.

Ruled out: the case held in one run each alone, on one core beside twelve busy processes, and with the hosts limited to 20%, 10% and 5% of the time (100 ms period, 100 of 1000 ms too). At 3% it could not run. That the users' machines held the process up is inferred, not seen.

Fix: turn_record keeps the times of the last turns of the event loop. A signal cannot be older than a turn that did not see it, so the plan is never later than the platform's own count, whatever the machine.

Test: platform_stop_check, check_delayed_stop. Before: FAILED "the host ends by itself before the platform kills it", 5 of 6 requests closed. After: passes.

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -8,6 +8,7 @@
 
 #include <boost/asio/signal_set.hpp>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -155,6 +156,7 @@
     m_runtime.spawn([this] { wait_for_signals(); });
     m_subscriptions.push_back(m_timers.subscribe(m_options.queue_service_period, [this](time_point) {
         const time_point now = boot_time_now();
+        m_turns.record_turn(now);
         // New reports are aggregated together. With many hosts, a pass over all reports for each new one is too
         // expensive.
         const duration pause = m_membership.uses_reporters() ? m_options.aggregation_period : duration::zero();
@@ -423,20 +425,21 @@
 }
 
 void gateway_process::stop() {
-    const time_point ordered_at = boot_time_now();
+    const time_point seen_at = boot_time_now();
+    const time_point ordered_at = m_turns.earliest_occurrence();
     const stop_plan plan(ordered_at, m_settings.bounds.stop_time, m_options.stop);
     m_is_stopping = true;
     m_membership.set_leaving();
     m_callers->start_draining();
     m_log.write(log_level::info, "stop", field("under_way", m_gateway.in_progress()),
                 field("waiting", m_dispatcher.waiting()), field("connections", m_callers->connection_count()),
-                field("accepts_for", plan.accepts_until() - ordered_at),
-                field("exits_in", plan.exits_at() - ordered_at));
-    m_dispatcher.begin_stop(plan, ordered_at);
+                field("seen_after", seen_at - ordered_at), field("accepts_for", plan.accepts_until() - seen_at),
+                field("exits_in", plan.exits_at() - seen_at));
+    m_dispatcher.begin_stop(plan, seen_at);
     m_exchange.send_reports(boot_time_now());
     m_runtime.spawn([this] { m_registration->withdraw(); });
 
-    m_runtime.sleep_for(plan.accepts_until() - boot_time_now());
+    m_runtime.sleep_for(std::max(plan.accepts_until() - boot_time_now(), duration::zero()));
     m_callers->close_idle();
 
     wait_for_requests(plan.interrupts_at());
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "base/boot_clock.h"
+#include "base/turn_record.h"
 #include "gateway/deployment_adapter.h"
 #include "gateway/fleet_exchange.h"
 #include "gateway/fleet_synchronizer.h"
@@ -84,6 +86,7 @@
     void run_maintenance();
     void stop();
     /// Returns when no request is in progress, or at the deadline.
+    /// Waits until no request is in progress or partly received, at most until the deadline.
     void wait_for_requests(time_point deadline);
     bool is_ready() const;
 
@@ -118,6 +121,7 @@
     std::unique_ptr<http_server> m_lookups;
     std::unique_ptr<http_server> m_metrics_server;
     std::vector<timer_subscription> m_subscriptions;
+    turn_record m_turns{boot_time_now()};
     time_point m_last_maintenance_at;
     time_point m_shares_updated_at; ///< When the shares of the accounts' rates were last computed.
     bool m_is_stopping = false;
--- a/src/libraries/steering/stop_plan.h
+++ b/src/libraries/steering/stop_plan.h
@@ -26,6 +26,8 @@
 /// is still true that it has not run, so that its caller can send it to another host.
 class stop_plan {
 public:
+    /// `ordered_at` is the earliest time at which the order can have been given. The platform counts the stop time from
+    /// the order, so a time after it would let the plan end later than the process.
     stop_plan(time_point ordered_at, duration stop_time, const stop_plan_options& options = {});
 
     /// When the listener and the idle connections close.
--- a/tests/end_to_end/platform_stop_check.py
+++ b/tests/end_to_end/platform_stop_check.py
@@ -143,6 +143,35 @@
     check("nothing is taken that cannot be answered", all(each.outcome in (503, "refused connection") for each in callers))
 
 
+def check_delayed_stop(host, store, upstreams):
+    """Guards against a stop whose times count from when the process sees the signal: a process that gets no processor
+    time at that moment passes requests on although the platform kills it before their answers."""
+    for upstream in upstreams:
+        upstream.work_seconds = 1.2
+    callers = [caller(host, "delayed-%d" % number) for number in range(6)]
+
+    def send_late(number, one):
+        time.sleep(1.6 + 0.1 * number)
+        one.send([one.head()[:40], one.head()[40:]], pause=3.2)
+
+    host.process.send_signal(signal.SIGSTOP)
+    host.process.send_signal(signal.SIGTERM)
+    ordered_at = time.monotonic()
+    threads = run_together([lambda number=number, one=one: send_late(number, one) for number, one in enumerate(callers)])
+    time.sleep(2.5)
+    host.process.send_signal(signal.SIGCONT)
+    try:
+        host.process.wait(ordered_at + STOP_SECONDS - time.monotonic())
+    except subprocess.TimeoutExpired:
+        host.process.kill()
+    for thread in threads:
+        thread.join()
+    check_refusals(callers, upstreams)
+    check("the host ends by itself before the platform kills it", host.process.wait() == 0)
+    check("no request is cut off after it was passed on",
+          not [run for upstream in upstreams for run in upstream.runs if run[1].startswith("delayed")])
+
+
 def check_interrupted_requests(host, store, upstreams):
     """Guards against closed connections at the exit: a caller could take its request for one that was never read and
     send it again, although an upstream works on it."""
@@ -158,7 +187,8 @@
 
 
 SCENARIOS = [(check_waiting_requests, STOP_SECONDS), (check_late_requests, STOP_SECONDS),
-             (check_long_stop, LONG_STOP_SECONDS), (check_interrupted_requests, STOP_SECONDS)]
+             (check_long_stop, LONG_STOP_SECONDS), (check_interrupted_requests, STOP_SECONDS),
+             (check_delayed_stop, STOP_SECONDS)]
 
 
 def run_scenario(scenario, stop_seconds, configuration, build):
