Wait at a stop for request heads that are still arriving

The host had exited at 4.9 s, 0.8 s before its own limit, although a refusal was possible.

Cause: the stop ended as soon as no request was in progress; a connection with a part of a head did not count.

Fix: http_server reports connections with a partly received head, and the stop waits for them within the same limits. What arrives is refused with 503.

Test: platform_stop_check, check_partly_read_requests.

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -447,13 +447,18 @@
     wait_for_requests(plan.exits_at());
     m_gateway.log_cut_off();
     m_log.write(log_level::info, "stopped", field("under_way", m_gateway.in_progress()),
-                field("waiting", m_dispatcher.waiting()), field("taken", boot_time_now() - ordered_at));
+                field("waiting", m_dispatcher.waiting()),
+                field("partly_received", m_callers->partly_received_requests()),
+                field("taken", boot_time_now() - ordered_at));
     m_runtime.stop();
 }
 
 void gateway_process::wait_for_requests(time_point deadline) {
     constexpr auto check_period = std::chrono::milliseconds(20);
-    while (m_callers->active_requests() > 0 && boot_time_now() < deadline)
+    const auto is_idle = [this] {
+        return m_callers->active_requests() == 0 && m_callers->partly_received_requests() == 0;
+    };
+    while (!is_idle() && boot_time_now() < deadline)
         m_runtime.sleep_for(check_period);
 }
 
--- a/src/libraries/net/http_server.cpp
+++ b/src/libraries/net/http_server.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -45,6 +46,12 @@
     std::size_t connection_count() const override { return m_state->connections.size(); }
     std::size_t active_requests() const override { return m_state->active; }
 
+    std::size_t partly_received_requests() const override {
+        return static_cast<std::size_t>(
+            std::count_if(m_state->connections.begin(), m_state->connections.end(),
+                          [](const http_server_connection* connection) { return connection->is_receiving_head(); }));
+    }
+
     void set_limits(std::size_t header_limit, duration idle_timeout, duration header_timeout) override {
         m_state->options.header_limit = header_limit;
         m_state->options.idle_timeout = idle_timeout;
--- a/src/libraries/net/http_server.h
+++ b/src/libraries/net/http_server.h
@@ -70,6 +70,9 @@
 
     /// Number of requests in progress.
     virtual std::size_t active_requests() const = 0;
+
+    /// Number of connections without a request in progress on which a part of a request head has arrived.
+    virtual std::size_t partly_received_requests() const = 0;
 };
 
 } // namespace ragworthinge
--- a/src/libraries/net/http_server_connection.h
+++ b/src/libraries/net/http_server_connection.h
@@ -32,6 +32,9 @@
     /// Serves requests until the connection ends. `active` counts the requests in progress of the whole server.
     void serve(const http_server::handler& on_request, std::size_t& active, const bool& draining);
 
+    /// True if a part of a request head has arrived and no request is in progress.
+    bool is_receiving_head() const noexcept { return m_open && m_exchanges.empty() && m_buffer.size() > 0; }
+
     /// Closes the connection unless a request is in progress or was partly received.
     void close_if_idle();
 
--- a/tests/end_to_end/platform_stop_check.py
+++ b/tests/end_to_end/platform_stop_check.py
@@ -143,6 +143,22 @@
     check("nothing is taken that cannot be answered", all(each.outcome in (503, "refused connection") for each in callers))
 
 
+def check_partly_read_requests(host, store, upstreams):
+    """Guards against an exit while heads are still arriving: their callers get a closed connection although the host
+    has the time to refuse them."""
+    callers = [caller(host, "partial-%d" % number) for number in range(4)]
+
+    def send_head_slowly(one):
+        time.sleep(2.1)
+        one.send([one.head()[:40], one.head()[40:]], pause=2.4)
+
+    host.process.send_signal(signal.SIGTERM)
+    threads = run_together([lambda one=one: send_head_slowly(one) for one in callers])
+    wait_for_exit(host, STOP_SECONDS, threads)
+    check_refusals(callers, upstreams)
+    check("every head that arrived before the exit is answered", all(each.outcome == 503 for each in callers))
+
+
 def check_delayed_stop(host, store, upstreams):
     """Guards against a stop whose times count from when the process sees the signal: a process that gets no processor
     time at that moment passes requests on although the platform kills it before their answers."""
@@ -188,7 +204,7 @@
 
 SCENARIOS = [(check_waiting_requests, STOP_SECONDS), (check_late_requests, STOP_SECONDS),
              (check_long_stop, LONG_STOP_SECONDS), (check_interrupted_requests, STOP_SECONDS),
-             (check_delayed_stop, STOP_SECONDS)]
+             (check_partly_read_requests, STOP_SECONDS), (check_delayed_stop, STOP_SECONDS)]
 
 
 def run_scenario(scenario, stop_seconds, configuration, build):
