Warn of entries without effect and show differences in `check`

Operators asked for a check of a configuration before it is sent. `check` already reported errors with their places.

--- a/src/libraries/configuration/fleet_configuration_reader.cpp
+++ b/src/libraries/configuration/fleet_configuration_reader.cpp
@@ -1,6 +1,7 @@
 #include "configuration/fleet_configuration_reader.h"
 
 #include "configuration/configuration_names.h"
+#include "configuration/configuration_reviewer.h"
 #include "configuration/configuration_validator.h"
 #include "configuration/object_reader.h"
 
@@ -175,14 +176,16 @@
 fleet_configuration_result read_fleet_configuration(const std::string& file, std::string_view text) {
     auto source = read_document(file, text);
     if (!source.has_value)
-        return {{}, std::move(source.findings)};
+        return {{}, std::move(source.findings), {}};
     reading_context context;
     object_reader reader(context, source.content.value());
-    fleet_configuration_result outcome{read_configuration(reader), std::move(source.findings)};
+    fleet_configuration_result outcome{read_configuration(reader), std::move(source.findings), {}};
     auto problems = validate_configuration(outcome.configuration);
     context.problems.insert(context.problems.end(), problems.begin(), problems.end());
     const auto located = locate_problems(context.problems, source.content);
     outcome.findings.insert(outcome.findings.end(), located.begin(), located.end());
+    if (outcome.findings.empty())
+        outcome.warnings = locate_problems(review_configuration(outcome.configuration), source.content);
     return outcome;
 }
 
--- a/src/libraries/configuration/fleet_configuration_reader.h
+++ b/src/libraries/configuration/fleet_configuration_reader.h
@@ -13,6 +13,8 @@
 struct fleet_configuration_result {
     fleet_configuration configuration;
     std::vector<finding> findings;
+    /// Entries of a usable configuration that have no effect or contradict each other. Empty if there are findings.
+    std::vector<finding> warnings;
 };
 
 /// Reads and validates a configuration completely. The revision is not part of the document and stays 0.
--- a/tests/operators/command_line_test.cpp
+++ b/tests/operators/command_line_test.cpp
@@ -172,6 +172,29 @@
     CHECK(output() == files["sample.json"]);
 }
 
+// Guards against a check that says nothing of what a submission would change, or of entries without effect.
+TEST_CASE_METHOD(command_fixture, "check warns and shows the differences from the configuration in force") {
+    REQUIRE(submit({"submit", "sample.json"}) == exit_success);
+    auto changed = sample_configuration();
+    changed.client_accounts[0].burst = 40;
+    files["changed.json"] = print_configuration(changed);
+    CHECK(query({"check", "changed.json", "--against", "current"}) == exit_success);
+    CHECK(output() == "~ client_accounts[alfa].burst: 20 -> 40\n");
+    CHECK(mentions(errors(), "warning: changed.json:"));
+    CHECK(mentions(errors(), "client_accounts[1].name: the client account has no key"));
+    CHECK(query({"check", "changed.json", "--against", "1", "--strict", "--output", "json"}) == exit_refused);
+    const auto report = boost::json::parse(output());
+    CHECK(report.at("findings").as_array().empty());
+    CHECK(report.at("changes").as_array().size() == 1);
+    CHECK_FALSE(report.at("warnings").as_array().empty());
+    CHECK(run({"check", "changed.json", "--against", "sample.json"}) == exit_success);
+    CHECK(run({"check", "changed.json", "--against", "current"}) == exit_usage);
+    CHECK(run({"check", "changed.json", "sample.json", "--against", "sample.json"}) == exit_usage);
+    files["bad.json"] = "{}";
+    CHECK(query({"check", "bad.json", "--against", "current"}) == exit_refused);
+    CHECK(query({"check", "sample.json", "--against", "9"}) != exit_success);
+}
+
 // Guards against output of 'show' that cannot be submitted again, and against losing an earlier revision.
 TEST_CASE_METHOD(command_fixture, "submit, show, compare, rollback and audit work together") {
     CHECK(query({"show"}) == exit_refused);
