Name hosts in lookups by the room that they have

Lookups named all live hosts of a region alike, whether a host had a link of 10 or of 200 Mbit/s. At such a host each answer waited behind larger ones (0.16 s at the median of small answers).

Settings may name a host's link, memory and descriptors; the record in the store carries them, and answers name each host in proportion to the requests for which it has room, if a region has hosts of more than one kind.

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
+#include <functional>
 #include <iostream>
 #include <map>
 #include <random>
@@ -55,7 +56,10 @@
             .failure_domain = settings.failure_domain,
             .caller_address = to_text(settings.listen.callers),
             .peer_address = to_text(settings.listen.peers),
-            .capacity = settings.capacity};
+            .capacity = settings.capacity,
+            .link_mbps = settings.link_mbps,
+            .memory_mb = settings.memory_mb,
+            .descriptors = settings.descriptors};
 }
 
 void respond_with_text(http_exchange& exchange, unsigned status, std::string_view type, std::string_view body) {
@@ -78,7 +82,7 @@
                  .fixed_allowance = m_settings.bounds.extra_retries,
                  .window = m_settings.bounds.retry_window}),
       m_update_builder(m_membership, m_crashes, {.run = m_incarnation}),
-      m_client(m_runtime, m_adapter.field_names(), m_log), m_exchange(m_runtime, m_membership, m_log),
+      m_client(m_runtime, m_adapter.field_names(), m_log, {.response_memory = body_memory(m_settings)}), m_exchange(m_runtime, m_membership, m_log),
       m_gateway({.runtime = m_runtime,
                  .fleet = m_fleet,
                  .membership = m_membership,
@@ -90,7 +94,8 @@
                  .client = m_client,
                  .field_names = m_adapter.field_names(),
                  .log = m_log,
-                 .counters = m_metrics}) {
+                 .counters = m_metrics},
+                {.body_memory = body_memory(m_settings)}) {
     m_client.on_connect_time([this](const region_id& region, duration round_trip) {
         m_dispatcher.placements().record_distance(region, round_trip);
     });
@@ -199,7 +204,9 @@
     const auto query = m_adapter.parse_lookup(exchange.request().target);
     if (!query)
         return respond_with_text(exchange, http_status::not_found, "text/plain", "unknown\n");
-    auto hosts = m_membership.entry_hosts_for(query->region, boot_time_now());
+    // A caller keeps the hosts of its answers while the fleet is unchanged, so its connections stay in use.
+    const auto hosts = m_membership.rooms().select(m_membership.entry_hosts_for(query->region, boot_time_now()),
+                                                   exchange.remote_address());
     if (hosts.empty())
         return respond_with_text(exchange, http_status::service_unavailable, "text/plain", "no entry host is known\n");
     const auto lifetime = std::min(m_options.lookup_lifetime, m_settings.bounds.lookup_lifetime);
@@ -216,6 +223,7 @@
     m_metrics.set("ragworthinge_upstream_leaving_responses", {}, static_cast<double>(m_client.leaving_responses()));
     m_metrics.set("ragworthinge_upstream_quiet_responses", {}, static_cast<double>(m_client.quiet_responses()));
     m_metrics.set("ragworthinge_peer_bytes", {}, static_cast<double>(m_exchange.bytes_transferred()));
+    m_metrics.set("ragworthinge_room_share", {}, m_membership.room_share());
     m_metrics.set("ragworthinge_members", {}, static_cast<double>(m_membership.size()));
     respond_with_text(exchange, http_status::ok, "text/plain", m_metrics.to_prometheus_text());
 }
@@ -371,9 +379,31 @@
                     field("reason", "its entry lapsed and did not return"));
     m_membership.remove_expired(now);
     m_client.close_idle(m_fleet.upstreams());
+    log_host_weights(now);
     reload_settings("changed file");
 }
 
+void gateway_process::log_host_weights(time_point now) {
+    constexpr auto least_period = std::chrono::seconds(10);
+    constexpr double logged_change = 1.5;
+    if (now - m_weights_logged_at < least_period)
+        return;
+    const std::vector<entry_host> hosts = m_membership.entry_hosts_for(m_settings.region, now);
+    const std::vector<double> weights = m_membership.rooms().weights(hosts);
+    if (m_logged_weights.empty() && std::adjacent_find(weights.begin(), weights.end(), std::not_equal_to<>()) == weights.end())
+        return;
+    for (std::size_t index = 0; index < hosts.size(); ++index) {
+        double& logged = m_logged_weights[hosts[index].name];
+        if (weights[index] <= logged * logged_change && logged <= weights[index] * logged_change)
+            continue;
+        m_weights_logged_at = now;
+        m_log.write(log_level::info, "host_weight", field("named_host", hosts[index].name),
+                    field("requests_per_second", weights[index]), field("before", logged),
+                    field("body_bytes", m_membership.rooms().body_bytes()));
+        logged = weights[index];
+    }
+}
+
 void gateway_process::log_replaced_bounds(const std::vector<finding>& replaced) {
     if (!replaced.empty())
         m_log.write(log_level::warn, "bounds_replaced", field("findings", to_text(replaced)));
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -84,6 +84,8 @@
     void apply_fleet_change();
     void reload_settings(std::string_view cause);
     void run_maintenance();
+    /// Logs the weights of the hosts of this region that have changed much.
+    void log_host_weights(time_point now);
     void stop();
     /// Returns when no request is in progress, or at the deadline.
     /// Waits until no request is in progress or partly received, at most until the deadline.
@@ -124,6 +126,8 @@
     turn_record m_turns{boot_time_now()};
     time_point m_last_maintenance_at;
     time_point m_shares_updated_at; ///< When the shares of the accounts' rates were last computed.
+    time_point m_weights_logged_at;
+    std::map<host_id, double> m_logged_weights; ///< Weight of each host of the region in its last log line.
     bool m_is_stopping = false;
     bool m_has_new_reports = false; ///< Whether reports have arrived since loads and shares were last computed.
 };
--- a/src/libraries/gateway/gateway_settings.cpp
+++ b/src/libraries/gateway/gateway_settings.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr std::string_view bounds_field = "bounds";
+constexpr std::size_t bytes_per_megabyte = 1024UL * 1024;
 
 ip_endpoint read_endpoint(object_reader& reader, std::string_view name, presence wanted) {
     return reader.parsed(name, wanted, [](std::string_view text) { return parse_ip_endpoint(text); });
@@ -45,6 +46,19 @@
     return bounds;
 }
 
+/// Reads a limit of the host; zero and a missing field mean that it is unknown.
+std::optional<double> read_limit(object_reader& reader, std::string_view name, double most) {
+    const double value =
+        reader.computed_number(name, presence::optional, number_range{.minimum = 0, .maximum = most}, 0);
+    return value > 0 ? std::optional(value) : std::nullopt;
+}
+
+std::optional<std::int64_t> read_count(object_reader& reader, std::string_view name) {
+    constexpr double most = 1'000'000'000;
+    const std::optional<double> value = read_limit(reader, name, most);
+    return value && *value >= 1 ? std::optional(static_cast<std::int64_t>(*value)) : std::nullopt;
+}
+
 gateway_settings read_settings(object_reader& reader, const gateway_bounds& fallback) {
     gateway_settings settings;
     settings.bounds = fallback;
@@ -53,6 +67,10 @@
     settings.failure_domain = reader.text("failure_domain", presence::required);
     constexpr number_range capacity_range{.minimum = 0.001, .maximum = 1024};
     settings.capacity = reader.computed_number("capacity", presence::optional, capacity_range, settings.capacity);
+    constexpr double most_link_mbps = 10'000'000;
+    settings.link_mbps = read_limit(reader, "link_mbps", most_link_mbps);
+    settings.memory_mb = read_count(reader, "memory_mb");
+    settings.descriptors = read_count(reader, "descriptors");
     reader.object("listen", presence::required,
                   [&](object_reader& listen) { settings.listen = read_addresses(listen); });
     settings.store = read_endpoint(reader, "store", presence::required);
@@ -89,6 +107,18 @@
     return outcome;
 }
 
+std::optional<std::size_t> memory_limit(const gateway_settings& settings) {
+    if (!settings.memory_mb)
+        return std::nullopt;
+    return static_cast<std::size_t>(*settings.memory_mb) * bytes_per_megabyte;
+}
+
+std::size_t body_memory(const gateway_settings& settings) {
+    constexpr std::size_t least_memory = 160 * bytes_per_megabyte;
+    constexpr std::size_t body_part = 5;
+    return std::max(memory_limit(settings).value_or(least_memory), least_memory) / body_part;
+}
+
 std::vector<std::string> gateway_settings_fields() {
     return settings_fields([](object_reader& reader) { return read_settings(reader, {}); });
 }
--- a/src/libraries/gateway/gateway_settings.h
+++ b/src/libraries/gateway/gateway_settings.h
@@ -7,7 +7,9 @@
 #include "configuration/ip_address.h"
 
 #include <chrono>
+#include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -37,7 +39,10 @@
     host_id host;
     region_id region;
     failure_domain_id failure_domain;
-    double capacity = 1; ///< Processor cores that the host may use.
+    double capacity = 1;                     ///< Processor cores that the host may use.
+    std::optional<double> link_mbps;         ///< Speed of the host's link in Mbit/s.
+    std::optional<std::int64_t> memory_mb;   ///< Memory that the host may use, in units of 1024 * 1024 bytes.
+    std::optional<std::int64_t> descriptors; ///< File descriptors that the host may open.
     gateway_addresses listen;
     ip_endpoint store;
     std::map<failure_domain_id, region_id> regions; ///< Region of each failure domain.
@@ -45,6 +50,13 @@
     log_level level = log_level::info;
 };
 
+/// Bytes of the memory that the host may use; absent if the settings do not name it.
+std::optional<std::size_t> memory_limit(const gateway_settings& settings);
+
+/// Bytes that may hold bodies of one direction: a fifth of the host's memory, and of 160 MB where the host has less or
+/// its memory is unknown. The rest holds the response that is read beyond the limit, the program and its tables.
+std::size_t body_memory(const gateway_settings& settings);
+
 struct gateway_settings_result {
     gateway_settings settings;
     std::vector<finding> findings;
--- a/src/libraries/gateway/request_gateway.cpp
+++ b/src/libraries/gateway/request_gateway.cpp
@@ -333,6 +333,7 @@
         end = attempt.head.status >= http_status::first_server_error ? attempt_end::failed : attempt_end::answered;
         m_components.crashes.record_answer(request.fingerprint);
         m_components.dispatcher.processing_times().record_size(request.route->name, attempt.body.size());
+        m_components.membership.rooms().record_bytes(request.outgoing.body.size() + attempt.body.size());
         if (end == attempt_end::answered)
             record_success(request, placed, taken, now);
         request.may_have_run = true;
--- a/src/libraries/steering/fleet_change.h
+++ b/src/libraries/steering/fleet_change.h
@@ -5,6 +5,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <variant>
 
@@ -34,6 +35,9 @@
     std::string caller_address; ///< "IP:PORT" for callers.
     std::string peer_address;   ///< "IP:PORT" for messages between hosts.
     double capacity = 1;        ///< Processor cores that it may use.
+    std::optional<double> link_mbps;           ///< Speed of its link in Mbit/s.
+    std::optional<std::int64_t> memory_mb;     ///< Memory that it may use.
+    std::optional<std::int64_t> descriptors;   ///< File descriptors that it may open.
 };
 
 struct upstream_announced {
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -3,6 +3,8 @@
 #include "membership/rendezvous_hash.h"
 
 #include <algorithm>
+#include <iterator>
+#include <numeric>
 #include <utility>
 
 namespace ragworthinge {
@@ -457,4 +459,17 @@
     return in_region.empty() ? all : in_region;
 }
 
+double fleet_membership::room_share() const {
+    const auto own = m_members.find(m_options.self);
+    // The room of this host is unknown until the store has confirmed its entry.
+    if (own == m_members.end())
+        return 1 / static_cast<double>(size());
+    std::vector<entry_host> hosts;
+    for (const auto& [name, known] : m_members)
+        hosts.push_back(known.host);
+    const std::vector<double> weights = m_rooms.weights(hosts);
+    const double total = std::accumulate(weights.begin(), weights.end(), 0.0);
+    return weights[static_cast<std::size_t>(std::distance(m_members.begin(), own))] / total;
+}
+
 } // namespace ragworthinge
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "steering/fleet_change.h"
 #include "steering/fleet_report.h"
+#include "steering/host_rooms.h"
 
 #include <deque>
 #include <map>
@@ -151,6 +152,13 @@
     /// it has none.
     std::vector<entry_host> entry_hosts_for(const region_id& region, time_point now) const;
 
+    /// The room of the hosts, by which lookups name them.
+    host_rooms& rooms() noexcept { return m_rooms; }
+
+    /// Returns the share of the fleet's room that this host has, above 0 and at most 1. Hosts that no longer report but
+    /// may still spend their share count as in `size`. An equal share if all hosts are of one kind.
+    double room_share() const;
+
 private:
     struct member {
         entry_host host;
@@ -211,6 +219,7 @@
         m_region_sums; ///< Demand sums of the last region reports made here, newest first.
     std::optional<received_region_update> m_region_update; ///< Latest update from the own region's reporter.
     bool m_leaving = false;
+    host_rooms m_rooms;
 };
 
 } // namespace ragworthinge
