--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -11,7 +11,6 @@
 #include <algorithm>
 #include <csignal>
 #include <cstdlib>
-#include <functional>
 #include <iostream>
 #include <map>
 #include <random>
@@ -82,20 +81,20 @@
                  .fixed_allowance = m_settings.bounds.extra_retries,
                  .window = m_settings.bounds.retry_window}),
       m_update_builder(m_membership, m_crashes, {.run = m_incarnation}),
-      m_client(m_runtime, m_adapter.field_names(), m_log, {.response_memory = body_memory(m_settings)}), m_exchange(m_runtime, m_membership, m_log),
-      m_gateway({.runtime = m_runtime,
-                 .fleet = m_fleet,
-                 .membership = m_membership,
-                 .dispatcher = m_dispatcher,
-                 .limiter = m_limiter,
-                 .retries = m_retries,
-                 .crashes = m_crashes,
-                 .exchange = m_exchange,
-                 .client = m_client,
-                 .field_names = m_adapter.field_names(),
-                 .log = m_log,
-                 .counters = m_metrics},
-                {.body_memory = body_memory(m_settings)}) {
+      m_client(m_runtime, m_adapter.field_names(), m_log, {.response_memory = body_memory(m_settings)}),
+      m_exchange(m_runtime, m_membership, m_log), m_gateway({.runtime = m_runtime,
+                                                             .fleet = m_fleet,
+                                                             .membership = m_membership,
+                                                             .dispatcher = m_dispatcher,
+                                                             .limiter = m_limiter,
+                                                             .retries = m_retries,
+                                                             .crashes = m_crashes,
+                                                             .exchange = m_exchange,
+                                                             .client = m_client,
+                                                             .field_names = m_adapter.field_names(),
+                                                             .log = m_log,
+                                                             .counters = m_metrics},
+                                                            {.body_memory = body_memory(m_settings)}) {
     m_client.on_connect_time([this](const region_id& region, duration round_trip) {
         m_dispatcher.placements().record_distance(region, round_trip);
     });
@@ -223,7 +222,7 @@
     m_metrics.set("ragworthinge_upstream_leaving_responses", {}, static_cast<double>(m_client.leaving_responses()));
     m_metrics.set("ragworthinge_upstream_quiet_responses", {}, static_cast<double>(m_client.quiet_responses()));
     m_metrics.set("ragworthinge_peer_bytes", {}, static_cast<double>(m_exchange.bytes_transferred()));
-    m_metrics.set("ragworthinge_room_share", {}, m_membership.room_share());
+    m_metrics.set("ragworthinge_room_share", {}, m_membership.room_share(boot_time_now()));
     m_metrics.set("ragworthinge_members", {}, static_cast<double>(m_membership.size()));
     respond_with_text(exchange, http_status::ok, "text/plain", m_metrics.to_prometheus_text());
 }
@@ -379,31 +378,10 @@
                     field("reason", "its entry lapsed and did not return"));
     m_membership.remove_expired(now);
     m_client.close_idle(m_fleet.upstreams());
-    log_host_weights(now);
+    m_weight_log.update(m_membership.entry_hosts_for(m_settings.region, now), m_membership.rooms(), now);
     reload_settings("changed file");
 }
 
-void gateway_process::log_host_weights(time_point now) {
-    constexpr auto least_period = std::chrono::seconds(10);
-    constexpr double logged_change = 1.5;
-    if (now - m_weights_logged_at < least_period)
-        return;
-    const std::vector<entry_host> hosts = m_membership.entry_hosts_for(m_settings.region, now);
-    const std::vector<double> weights = m_membership.rooms().weights(hosts);
-    if (m_logged_weights.empty() && std::adjacent_find(weights.begin(), weights.end(), std::not_equal_to<>()) == weights.end())
-        return;
-    for (std::size_t index = 0; index < hosts.size(); ++index) {
-        double& logged = m_logged_weights[hosts[index].name];
-        if (weights[index] <= logged * logged_change && logged <= weights[index] * logged_change)
-            continue;
-        m_weights_logged_at = now;
-        m_log.write(log_level::info, "host_weight", field("named_host", hosts[index].name),
-                    field("requests_per_second", weights[index]), field("before", logged),
-                    field("body_bytes", m_membership.rooms().body_bytes()));
-        logged = weights[index];
-    }
-}
-
 void gateway_process::log_replaced_bounds(const std::vector<finding>& replaced) {
     if (!replaced.empty())
         m_log.write(log_level::warn, "bounds_replaced", field("findings", to_text(replaced)));
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -6,6 +6,7 @@
 #include "gateway/fleet_exchange.h"
 #include "gateway/fleet_synchronizer.h"
 #include "gateway/host_registration.h"
+#include "gateway/host_weight_log.h"
 #include "gateway/request_gateway.h"
 #include "gateway/upstream_client.h"
 #include "net/fiber_runtime.h"
@@ -84,8 +85,6 @@
     void apply_fleet_change();
     void reload_settings(std::string_view cause);
     void run_maintenance();
-    /// Logs the weights of the hosts of this region that have changed much.
-    void log_host_weights(time_point now);
     void stop();
     /// Returns when no request is in progress, or at the deadline.
     /// Waits until no request is in progress or partly received, at most until the deadline.
@@ -123,11 +122,10 @@
     std::unique_ptr<http_server> m_lookups;
     std::unique_ptr<http_server> m_metrics_server;
     std::vector<timer_subscription> m_subscriptions;
+    host_weight_log m_weight_log{m_log};
     turn_record m_turns{boot_time_now()};
     time_point m_last_maintenance_at;
     time_point m_shares_updated_at; ///< When the shares of the accounts' rates were last computed.
-    time_point m_weights_logged_at;
-    std::map<host_id, double> m_logged_weights; ///< Weight of each host of the region in its last log line.
     bool m_is_stopping = false;
     bool m_has_new_reports = false; ///< Whether reports have arrived since loads and shares were last computed.
 };
--- a/src/libraries/steering/fleet_change.h
+++ b/src/libraries/steering/fleet_change.h
@@ -32,12 +32,12 @@
     ragworthinge::incarnation incarnation = 0;
     region_id region;
     failure_domain_id failure_domain;
-    std::string caller_address; ///< "IP:PORT" for callers.
-    std::string peer_address;   ///< "IP:PORT" for messages between hosts.
-    double capacity = 1;        ///< Processor cores that it may use.
-    std::optional<double> link_mbps;           ///< Speed of its link in Mbit/s.
-    std::optional<std::int64_t> memory_mb;     ///< Memory that it may use.
-    std::optional<std::int64_t> descriptors;   ///< File descriptors that it may open.
+    std::string caller_address;              ///< "IP:PORT" for callers.
+    std::string peer_address;                ///< "IP:PORT" for messages between hosts.
+    double capacity = 1;                     ///< Processor cores that it may use.
+    std::optional<double> link_mbps;         ///< Speed of its link in Mbit/s.
+    std::optional<std::int64_t> memory_mb;   ///< Memory that it may use.
+    std::optional<std::int64_t> descriptors; ///< File descriptors that it may open.
 };
 
 struct upstream_announced {
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -10,6 +10,7 @@
 namespace ragworthinge {
 
 void fleet_membership::announce(const entry_host& host, time_point now, std::int64_t revision) {
+    m_room_share.reset();
     const auto [entry, created] = m_members.try_emplace(host.name);
     member& known = entry->second;
     known.announced_revision = revision;
@@ -47,11 +48,13 @@
 }
 
 void fleet_membership::remove_expired(time_point now) {
-    std::erase_if(m_members, [&](const auto& entry) {
+    const std::size_t expired = std::erase_if(m_members, [&](const auto& entry) {
         const member& known = entry.second;
         const duration kept = known.report.is_leaving ? m_options.leaving_reservation : m_options.reservation;
         return known.withdrawn_at && now - *known.withdrawn_at > kept && !is_live(known, now);
     });
+    if (expired > 0)
+        m_room_share.reset();
 }
 
 bool fleet_membership::record_report(host_report report, time_point now) {
@@ -459,7 +462,13 @@
     return in_region.empty() ? all : in_region;
 }
 
-double fleet_membership::room_share() const {
+double fleet_membership::room_share(time_point now) const {
+    if (!m_room_share || now - m_room_share->computed_at >= m_options.room_share_lifetime)
+        m_room_share = {compute_room_share(), now};
+    return m_room_share->share;
+}
+
+double fleet_membership::compute_room_share() const {
     const auto own = m_members.find(m_options.self);
     // The room of this host is unknown until the store has confirmed its entry.
     if (own == m_members.end())
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -45,6 +45,8 @@
     /// per region. With 24 hosts, a report of 0.4 kB per peer and period makes 12 kB/s in each direction
     /// (docs/CAPACITY.md).
     std::size_t direct_fleet_size = 24;
+    /// Time for which this host's share of the fleet's room is kept while the members are unchanged.
+    duration room_share_lifetime = std::chrono::seconds(1);
 };
 
 /// Tracks which entry hosts are registered in the store and which of them are live according to their reports.
@@ -156,8 +158,9 @@
     host_rooms& rooms() noexcept { return m_rooms; }
 
     /// Returns the share of the fleet's room that this host has, above 0 and at most 1. Hosts that no longer report but
-    /// may still spend their share count as in `size`. An equal share if all hosts are of one kind.
-    double room_share() const;
+    /// may still spend their share count as in `size`. An equal share if all hosts are of one kind. The result is kept
+    /// for a short time, so that it may be asked for with each request.
+    double room_share(time_point now) const;
 
 private:
     struct member {
@@ -193,6 +196,7 @@
     /// Returns whether a message comes from the member's known incarnation or from a later one, which then becomes the
     /// known one.
     static bool accepts_incarnation(member& known, incarnation run, time_point now);
+    double compute_room_share() const;
     bool accepts_callers(const member& candidate, time_point now) const;
     bool is_live(const member& known, time_point now) const;
     bool is_reporting(const member& known, time_point now) const;
@@ -220,6 +224,12 @@
     std::optional<received_region_update> m_region_update; ///< Latest update from the own region's reporter.
     bool m_leaving = false;
     host_rooms m_rooms;
+
+    struct computed_share {
+        double share = 1;
+        time_point computed_at;
+    };
+    mutable std::optional<computed_share> m_room_share; ///< Absent after a change of the members.
 };
 
 } // namespace ragworthinge
--- a/src/libraries/steering/host_rooms.cpp
+++ b/src/libraries/steering/host_rooms.cpp
@@ -49,8 +49,7 @@
     const bool has_links =
         std::all_of(hosts.begin(), hosts.end(), [](const entry_host& host) { return host.link_mbps.has_value(); });
     const double processor_time = std::chrono::duration<double>(m_options.processor_time).count();
-    const double megabits =
-        crossings * (m_body_bytes + m_options.head_bytes) * bits_per_byte / bits_per_megabit;
+    const double megabits = crossings * (m_body_bytes + m_options.head_bytes) * bits_per_byte / bits_per_megabit;
     std::vector<double> weights;
     weights.reserve(hosts.size());
     for (const entry_host& host : hosts) {
--- a/tests/gateway/codecs_test.cpp
+++ b/tests/gateway/codecs_test.cpp
@@ -156,6 +156,24 @@
     CHECK_FALSE(read_host_record("junk"));
 }
 
+// Guards against hosts that are lost because their records were written by an earlier or a later release.
+TEST_CASE("a host record may lack properties of the host or hold unknown ones") {
+    entry_host host = make_host("front-1");
+    const std::string early = write_host_record(host);
+    CHECK_FALSE(read_host_record(early).value().link_mbps);
+    host.link_mbps = 10.5;
+    host.memory_mb = 416;
+    host.descriptors = 10'660;
+    const std::string text = write_host_record(host);
+    const auto read = read_host_record(text + "5:color,4:blue,");
+    REQUIRE(read);
+    CHECK(read.value().link_mbps == 10.5);
+    CHECK(read.value().memory_mb == 416);
+    CHECK(read.value().descriptors == 10'660);
+    for (const std::string bad : {"x", "9:link_kbps,", "9:link_kbps,1:0,", "9:link_kbps,4:fast,", "9:memory_mb,2:-1,"})
+        CHECK_FALSE(read_host_record(early + bad));
+}
+
 // Guards against shares that are only reached over long sequences of requests.
 TEST_CASE("a traffic split has its shares in each short sequence of requests") {
     traffic_splitter splitter;
@@ -247,7 +265,41 @@
     CHECK(read.settings.bounds.stop_time == std::chrono::milliseconds(6500));
     CHECK(read.settings.listen.metrics.port == 0);
 
+    CHECK_FALSE(read.settings.link_mbps);
+    CHECK_FALSE(memory_limit(read.settings));
+
     const auto bad = read_gateway_settings("settings", R"({"host": 3, "store": "nowhere", "speed": 1})");
     CHECK(bad.findings.size() >= 5);
     CHECK(read_gateway_settings("settings", "{").findings.size() == 1);
 }
+
+// Guards against limits out of range that are taken as they are, and against a small host that holds more bodies than
+// its memory allows.
+TEST_CASE("the room of a host is optional and checked") {
+    const auto with_room = [](const std::string& room) {
+        return read_gateway_settings("settings", R"({
+            "host": "front-1", "region": "gulf", "failure_domain": "gulf-a",
+            "listen": {"callers": "127.0.0.1:1", "readiness": "127.0.0.1:2", "lookups": "127.0.0.1:3",
+                       "peers": "127.0.0.1:4"},
+            "store": "127.0.0.1:5",
+            "failure_domains": [{"name": "gulf-a", "region": "gulf"}])" +
+                                                     room + "}");
+    };
+    const auto read = with_room(R"(, "link_mbps": 10.0, "memory_mb": 512, "descriptors": 4100)");
+    CHECK(read.findings.empty());
+    CHECK(read.settings.link_mbps == 10);
+    CHECK(read.settings.descriptors == 4100);
+    CHECK(memory_limit(read.settings) == 512UL * 1024 * 1024);
+    CHECK(body_memory(read.settings) == 512UL * 1024 * 1024 / 5);
+    for (const std::string room : {"", R"(, "memory_mb": 0)", R"(, "memory_mb": 100)", R"(, "memory_mb": 160)"})
+        CHECK(body_memory(with_room(room).settings) == 32UL * 1024 * 1024);
+    for (const std::string field : {"link_mbps", "memory_mb", "descriptors"}) {
+        for (const std::string value : {"-1", "1e12", "\"wide\"", "null", "[]"}) {
+            INFO(field << ": " << value);
+            const auto bad = with_room(", \"" + field + "\": " + value);
+            REQUIRE(bad.findings.size() == 1);
+            CHECK(bad.findings.front().path == field);
+            CHECK(bad.findings.front().position.line > 0);
+        }
+    }
+}
--- a/tests/steering/fleet_membership_test.cpp
+++ b/tests/steering/fleet_membership_test.cpp
@@ -216,3 +216,30 @@
     CHECK(aggregate.loads[0].in_flight == 4);
     CHECK(aggregate.crashes.at(0).upstream_crashes == 2);
 }
+
+// Guards against equal shares for hosts of unequal room, and against shares that add up to more than one.
+TEST_CASE("a host's share of the fleet's room follows its processor and its link") {
+    double total = 0;
+    for (const std::string self : {"large", "small-1", "small-2"}) {
+        fleet_membership fleet = make_membership(self);
+        CHECK(fleet.room_share(test_start) == 1);
+        for (const std::string name : {"large", "small-1", "small-2"}) {
+            entry_host host = make_host(name);
+            host.capacity = name == "large" ? 0.5 : 0.1;
+            host.link_mbps = name == "large" ? 200 : 10;
+            fleet.announce(host, test_start);
+        }
+        total += fleet.room_share(test_start);
+        if (self == "large")
+            CHECK(fleet.room_share(test_start) > 0.7);
+        else
+            CHECK(fleet.room_share(test_start) < 0.15);
+    }
+    CHECK(total == Approx(1));
+
+    fleet_membership alike = make_membership("a");
+    alike.announce(make_host("b"), test_start);
+    CHECK(alike.room_share(test_start) == Approx(0.5));
+    alike.announce(make_host("a"), test_start);
+    CHECK(alike.room_share(test_start) == Approx(0.5));
+}
