--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -6,6 +6,7 @@
 #include "gateway/fleet_exchange.h"
 #include "gateway/fleet_synchronizer.h"
 #include "gateway/host_registration.h"
+#include "gateway/host_weight_log.h"
 #include "gateway/request_gateway.h"
 #include "gateway/upstream_client.h"
 #include "net/fiber_runtime.h"
@@ -121,6 +122,7 @@
     std::unique_ptr<http_server> m_lookups;
     std::unique_ptr<http_server> m_metrics_server;
     std::vector<timer_subscription> m_subscriptions;
+    host_weight_log m_weight_log{m_log};
     turn_record m_turns{boot_time_now()};
     time_point m_last_maintenance_at;
     time_point m_shares_updated_at; ///< When the shares of the accounts' rates were last computed.
