Close behind a response without losing it

A connection that was closed behind its last response while bytes of the caller were unread was reset by the kernel, and what had not been delivered was lost. The sending direction now ends first; what the caller still sends is read and dropped, for 1 s (0.5 s in a stop) after the caller last acknowledged something, at most 10 s and 4 MiB. Such connections count towards the connection limit, where new ones replace them, and the stop waits for them until its exit time. A ready fiber is resumed before the event loop ends, since the thread's next loop would resume it otherwise.

--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -456,7 +456,8 @@
 void gateway_process::wait_for_requests(time_point deadline) {
     constexpr auto check_period = std::chrono::milliseconds(20);
     const auto is_idle = [this] {
-        return m_callers->active_requests() == 0 && m_callers->partly_received_requests() == 0;
+        return m_callers->active_requests() == 0 && m_callers->partly_received_requests() == 0 &&
+               m_callers->closing_connections() == 0 && m_lookups->closing_connections() == 0;
     };
     while (!is_idle() && boot_time_now() < deadline)
         m_runtime.sleep_for(check_period);
--- a/src/libraries/host/host_process.cpp
+++ b/src/libraries/host/host_process.cpp
@@ -709,7 +709,8 @@
     const time_point deadline = begun + ttl + longest_request() + stop_margin;
     m_runtime.sleep_for(ttl);
     m_caller_server->close_idle();
-    while (m_caller_server->active_requests() > 0 && monotonic_clock::now() < deadline)
+    while (m_caller_server->active_requests() + m_caller_server->closing_connections() > 0 &&
+           monotonic_clock::now() < deadline)
         m_runtime.sleep_for(drain_poll);
     while (m_claims->backlog() > 0 && monotonic_clock::now() < deadline)
         m_runtime.sleep_for(drain_poll);
--- a/src/libraries/net/fiber_runtime.cpp
+++ b/src/libraries/net/fiber_runtime.cpp
@@ -42,6 +42,9 @@
         m_io.run_one();
         m_io.poll();
     }
+    // Boost.Fiber would hand fibers that are ready now to the thread's next runtime, which would resume them with
+    // timers and sockets of this one.
+    run_ready_fibers();
 }
 
 void fiber_runtime::stop() {
--- a/src/libraries/net/http_server.cpp
+++ b/src/libraries/net/http_server.cpp
@@ -43,13 +43,15 @@
 
     std::uint16_t port() const override { return m_acceptor->local_endpoint().port(); }
     void start_draining() override { m_state->draining = true; }
-    std::size_t connection_count() const override { return m_state->connections.size(); }
+    std::size_t connection_count() const override { return m_state->connections.size() - closing_connections(); }
     std::size_t active_requests() const override { return m_state->active; }
 
     std::size_t partly_received_requests() const override {
-        return static_cast<std::size_t>(
-            std::count_if(m_state->connections.begin(), m_state->connections.end(),
-                          [](const http_server_connection* connection) { return connection->is_receiving_head(); }));
+        return count([](const http_server_connection& connection) { return connection.is_receiving_head(); });
+    }
+
+    std::size_t closing_connections() const override {
+        return count([](const http_server_connection& connection) { return connection.is_closing(); });
     }
 
     void set_limits(std::size_t header_limit, duration idle_timeout, duration header_timeout) override {
@@ -69,6 +71,26 @@
     }
 
 private:
+    template <class Predicate>
+    std::size_t count(Predicate matches) const {
+        const auto& connections = m_state->connections;
+        return static_cast<std::size_t>(
+            std::count_if(connections.begin(), connections.end(),
+                          [&](const http_server_connection* connection) { return matches(*connection); }));
+    }
+
+    /// False if all connections are in use.
+    static bool make_room(const server_state& state) {
+        if (state.connections.size() < state.options.connection_limit)
+            return true;
+        const auto closing = std::find_if(state.connections.begin(), state.connections.end(),
+                                          [](const http_server_connection* one) { return one->is_closing(); });
+        if (closing == state.connections.end())
+            return false;
+        (*closing)->end_closing();
+        return true;
+    }
+
     static void accept_connections(fiber_runtime& runtime, tcp::acceptor& acceptor,
                                    const std::shared_ptr<server_state>& state) {
         constexpr auto pause_after_failure = std::chrono::milliseconds(50);
@@ -85,7 +107,7 @@
                 runtime.sleep_for(pause_after_failure);
                 continue;
             }
-            if (state->connections.size() >= state->options.connection_limit)
+            if (!make_room(*state))
                 continue;
             runtime.spawn([&runtime, socket, state] { serve_connection(runtime, std::move(*socket), state); });
         }
--- a/src/libraries/net/http_server.h
+++ b/src/libraries/net/http_server.h
@@ -35,6 +35,14 @@
     /// Bytes of responses per connection that may wait for earlier responses; while more wait, no further request
     /// starts.
     std::size_t max_queued_response_bytes = 256 * 1024;
+    /// A connection that closes behind a response still reads and drops what the caller sends, because the kernel
+    /// resets a connection that is closed with unread bytes, and the response would be lost. It ends when the caller
+    /// closes, or when the caller acknowledged nothing of the response for this long.
+    duration closing_time = std::chrono::seconds(1);
+    duration closing_time_while_draining = std::chrono::milliseconds(500); ///< Instead of `closing_time`.
+    duration closing_limit = std::chrono::seconds(10);                     ///< Longest time in any case.
+    /// Bytes that are dropped; what exceeds them is not read. A link of 10 Mbit/s carries a third of them in a second.
+    std::size_t max_dropped_bytes = 4UL * 1024 * 1024;
 };
 
 /// HTTP/1.1 server with one fiber per connection, plus one per request that runs concurrently with others of its
@@ -62,9 +70,13 @@
     /// Stops accepting connections and closes those without a request in progress.
     virtual void close_idle() = 0;
 
-    /// Number of open connections.
+    /// Number of open connections, except those that close behind a response.
     virtual std::size_t connection_count() const = 0;
 
+    /// Number of connections that close behind a response and wait for their callers to close. They count towards
+    /// `connection_limit`; at the limit a new connection replaces one of them.
+    virtual std::size_t closing_connections() const = 0;
+
     /// Sets the limits that apply from the next request on: head size in bytes, idle and header timeouts.
     virtual void set_limits(std::size_t header_limit, duration idle_timeout, duration header_timeout) = 0;
 
--- a/src/libraries/net/http_server_connection.cpp
+++ b/src/libraries/net/http_server_connection.cpp
@@ -37,7 +37,9 @@
         serve_requests(on_request, active);
 
     wait_until_answered();
-    abort();
+    close_when_idle();
+    if (m_is_closing)
+        drop_input();
     // The fibers of exchanges and the pending read refer to this object, so it must outlive them.
     while (!m_exchanges.empty() || m_is_reading)
         wait(duration::max());
@@ -87,8 +89,10 @@
     on_request(exchange);
     exchange.stop_watching();
     --active;
-    if (!exchange.response_finished() || (exchange.keeps_connection() && !exchange.discard_rest_of_body()))
+    if (!exchange.response_finished())
         abort();
+    else if (exchange.keeps_connection() && !exchange.discard_rest_of_body())
+        close_behind_response();
     end_exchange(exchange);
 }
 
@@ -99,7 +103,7 @@
     const bool closes = exchange.response_finished() && !exchange.keeps_connection();
     m_exchanges.erase(ended);
     if (closes)
-        abort();
+        close_behind_response();
     if (!m_exchanges.empty())
         m_exchanges.front()->release_response();
     wake();
@@ -121,7 +125,15 @@
 }
 
 void http_server_connection::close_if_idle() {
-    if (m_open && m_exchanges.empty() && m_buffer.size() == 0)
+    if (m_exchanges.empty() && m_buffer.size() == 0)
+        close_when_idle();
+}
+
+void http_server_connection::close_when_idle() {
+    // Only an earlier response that is still on its way to the caller can be lost.
+    if (m_open && !m_input_ended && m_stream.unacknowledged_bytes() > 0)
+        close_behind_response();
+    else
         abort();
 }
 
@@ -131,6 +143,48 @@
     m_open = false;
     m_stream.close();
     wake();
+    end_exchanges();
+}
+
+void http_server_connection::close_behind_response() {
+    if (!m_open)
+        return;
+    m_open = false;
+    m_is_closing = true;
+    m_stream.shutdown_send();
+    wake();
+    end_exchanges();
+}
+
+void http_server_connection::end_closing() noexcept {
+    m_input_ended = true;
+    m_is_closing = false;
+    wake();
+}
+
+void http_server_connection::drop_input() {
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    const time_point closed_at = monotonic_clock::now();
+    const duration period = *m_draining ? m_options.closing_time_while_draining : m_options.closing_time;
+    time_point deadline = closed_at + period;
+    std::size_t unacknowledged = m_stream.unacknowledged_bytes();
+    while (!m_input_ended) {
+        if (!m_is_reading && m_dropped_bytes < m_options.max_dropped_bytes)
+            start_read();
+        if (wait(std::max(deadline - monotonic_clock::now(), duration::zero())))
+            continue;
+        const std::size_t left = m_stream.unacknowledged_bytes();
+        if (left == 0 || left >= unacknowledged || deadline >= closed_at + m_options.closing_limit)
+            break;
+        unacknowledged = left;
+        deadline += period;
+    }
+    m_is_closing = false;
+    m_stream.close();
+}
+
+void http_server_connection::end_exchanges() {
     // Notifies handlers that are still running, since their responses can no longer be delivered.
     for (std::size_t index = 0; index < m_exchanges.size(); ++index) {
         m_exchanges[index]->notify_disconnect();
@@ -163,6 +217,10 @@
 void http_server_connection::read_ahead() {
     if (m_is_reading || m_input_ended || !m_open || m_buffer.size() >= read_limit())
         return;
+    start_read();
+}
+
+void http_server_connection::start_read() {
     m_is_reading = true;
     // The fiber enforces the time limits of reads, because a read may start during a request and complete after it.
     m_stream.lowest_layer().expires_never();
@@ -178,8 +236,13 @@
 
 void http_server_connection::on_read_completed(const boost::system::error_code& failure, std::size_t bytes) {
     m_is_reading = false;
-    m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(bytes), boost::asio::buffer(m_read_buffer.get(), bytes)));
     wake();
+    if (!m_open) {
+        m_dropped_bytes += bytes;
+        m_input_ended = m_input_ended || failure;
+        return;
+    }
+    m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(bytes), boost::asio::buffer(m_read_buffer.get(), bytes)));
     if (!failure) {
         // While a request handler occupies the connection's fiber, the next read is started here.
         if (!m_exchanges.empty())
--- a/src/libraries/net/http_server_connection.h
+++ b/src/libraries/net/http_server_connection.h
@@ -35,6 +35,12 @@
     /// True if a part of a request head has arrived and no request is in progress.
     bool is_receiving_head() const noexcept { return m_open && m_exchanges.empty() && m_buffer.size() > 0; }
 
+    /// True while the connection closes behind a response and waits for the caller to close.
+    bool is_closing() const noexcept { return m_is_closing; }
+
+    /// Closes a connection for which `is_closing` is true without waiting for the caller.
+    void end_closing() noexcept;
+
     /// Closes the connection unless a request is in progress or was partly received.
     void close_if_idle();
 
@@ -51,6 +57,10 @@
     bool is_open() const noexcept { return m_open; }
     void abort();
 
+    /// Closes the connection behind a complete response so that the response is not lost: no further response is sent,
+    /// and what the caller still sends is dropped.
+    void close_behind_response();
+
     /// Feeds received bytes to the parser; waits for more if there are none.
     parse_status parse_more(http_server_exchange::request_parser& parser);
 
@@ -89,6 +99,10 @@
     bool wait(duration time);
     void wake() { m_timer.cancel(); }
     void wait_until_answered();
+    void start_read();
+    void close_when_idle();
+    void drop_input();
+    void end_exchanges();
     void on_read_completed(const boost::system::error_code& failure, std::size_t bytes);
     void end_exchange(http_server_exchange& exchange);
     std::size_t read_limit() const noexcept;
@@ -104,7 +118,9 @@
     std::size_t m_queued_response_bytes = 0; ///< Bytes of responses that wait for earlier responses.
     bool m_is_reading = false;
     bool m_input_ended = false;
-    bool m_open = true;
+    bool m_open = true;        ///< False once no further response can be sent.
+    bool m_is_closing = false; ///< The sending direction has ended; received bytes are dropped.
+    std::size_t m_dropped_bytes = 0;
     bool m_accepts_requests = true; ///< False once a request or a response specified that the connection closes.
     const bool* m_draining = nullptr;
 };
--- a/src/libraries/net/http_server_exchange.cpp
+++ b/src/libraries/net/http_server_exchange.cpp
@@ -93,7 +93,10 @@
                 head.fields.add("Connection", "close");
                 static_cast<void>(respond(*this, std::move(head), "malformed request body\n"));
             }
-            abort();
+            if (m_response_finished)
+                m_connection.close_behind_response();
+            else
+                abort();
             return failure(error_code::protocol_violation, "request body is malformed");
         case http_server_connection::parse_status::ended:
             abort();
--- a/src/libraries/net/http_stream.h
+++ b/src/libraries/net/http_stream.h
@@ -10,6 +10,10 @@
 #include <boost/asio/ssl/stream.hpp>
 #include <boost/beast/core/basic_stream.hpp>
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <cstddef>
 #include <memory>
 #include <utility>
 
@@ -54,6 +58,20 @@
         lowest_layer().close();
     }
 
+    /// Ends the sending direction: the peer receives what was sent and then the end of the stream.
+    void shutdown_send() noexcept {
+        boost::system::error_code ignored;
+        lowest_layer().socket().shutdown(boost::asio::ip::tcp::socket::shutdown_send, ignored);
+    }
+
+    /// Bytes that were sent and that the peer has not acknowledged.
+    std::size_t unacknowledged_bytes() noexcept {
+        int bytes = 0;
+        if (!is_open() || ::ioctl(lowest_layer().socket().native_handle(), SIOCOUTQ, &bytes) != 0)
+            return 0;
+        return static_cast<std::size_t>(bytes);
+    }
+
     bool is_open() noexcept { return lowest_layer().socket().is_open(); }
 
 private:
