--- a/src/libraries/net/http_server.cpp
+++ b/src/libraries/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.h"
 
+#include "net/closing_connection.h"
 #include "net/fiber_runtime.h"
 #include "net/http_server_connection.h"
 
@@ -21,6 +22,7 @@
     http_server_options options;
     http_server::handler on_request;
     std::set<http_server_connection*> connections;
+    std::set<std::shared_ptr<closing_connection>> closing;
     std::size_t active = 0;
     bool draining = false;
     bool closed = false;
@@ -43,7 +45,9 @@
 
     std::uint16_t port() const override { return m_acceptor->local_endpoint().port(); }
     void start_draining() override { m_state->draining = true; }
-    std::size_t connection_count() const override { return m_state->connections.size() - closing_connections(); }
+    std::size_t connection_count() const override {
+        return count([](const auto& one) { return !one.is_closing(); });
+    }
     std::size_t active_requests() const override { return m_state->active; }
 
     std::size_t partly_received_requests() const override {
@@ -51,7 +55,7 @@
     }
 
     std::size_t closing_connections() const override {
-        return count([](const http_server_connection& connection) { return connection.is_closing(); });
+        return m_state->closing.size() + count([](const auto& one) { return one.is_closing(); });
     }
 
     void set_limits(std::size_t header_limit, duration idle_timeout, duration header_timeout) override {
@@ -81,13 +85,12 @@
 
     /// False if all connections are in use.
     static bool make_room(const server_state& state) {
-        if (state.connections.size() < state.options.connection_limit)
+        if (state.connections.size() + state.closing.size() < state.options.connection_limit)
             return true;
-        const auto closing = std::find_if(state.connections.begin(), state.connections.end(),
-                                          [](const http_server_connection* one) { return one->is_closing(); });
-        if (closing == state.connections.end())
+        if (state.closing.empty())
             return false;
-        (*closing)->end_closing();
+        const auto replaced = *state.closing.begin();
+        replaced->end();
         return true;
     }
 
@@ -129,6 +132,22 @@
         state->connections.insert(&connection);
         connection.serve(state->on_request, state->active, state->draining);
         state->connections.erase(&connection);
+        if (connection.is_closing())
+            start_closing(runtime, connection.take_stream(), state);
+    }
+
+    static void start_closing(fiber_runtime& runtime, http_stream stream, const std::shared_ptr<server_state>& state) {
+        const http_server_options& options = state->options;
+        const auto closing = std::make_shared<closing_connection>(
+            runtime.io(), std::move(stream),
+            closing_options{.quiet_time = state->draining ? options.closing_time_while_draining : options.closing_time,
+                            .limit = options.closing_limit,
+                            .max_bytes = options.max_dropped_bytes});
+        state->closing.insert(closing);
+        closing->start([server = std::weak_ptr(state), one = std::weak_ptr(closing)] {
+            if (const auto existing = server.lock())
+                existing->closing.erase(one.lock());
+        });
     }
 
     fiber_runtime& m_runtime;
--- a/src/libraries/net/http_server_connection.cpp
+++ b/src/libraries/net/http_server_connection.cpp
@@ -39,7 +39,7 @@
     wait_until_answered();
     close_when_idle();
     if (m_is_closing)
-        drop_input();
+        m_stream.lowest_layer().cancel();
     // The fibers of exchanges and the pending read refer to this object, so it must outlive them.
     while (!m_exchanges.empty() || m_is_reading)
         wait(duration::max());
@@ -156,34 +156,6 @@
     end_exchanges();
 }
 
-void http_server_connection::end_closing() noexcept {
-    m_input_ended = true;
-    m_is_closing = false;
-    wake();
-}
-
-void http_server_connection::drop_input() {
-    m_buffer.clear();
-    m_buffer.shrink_to_fit();
-    const time_point closed_at = monotonic_clock::now();
-    const duration period = *m_draining ? m_options.closing_time_while_draining : m_options.closing_time;
-    time_point deadline = closed_at + period;
-    std::size_t unacknowledged = m_stream.unacknowledged_bytes();
-    while (!m_input_ended) {
-        if (!m_is_reading && m_dropped_bytes < m_options.max_dropped_bytes)
-            start_read();
-        if (wait(std::max(deadline - monotonic_clock::now(), duration::zero())))
-            continue;
-        const std::size_t left = m_stream.unacknowledged_bytes();
-        if (left == 0 || left >= unacknowledged || deadline >= closed_at + m_options.closing_limit)
-            break;
-        unacknowledged = left;
-        deadline += period;
-    }
-    m_is_closing = false;
-    m_stream.close();
-}
-
 void http_server_connection::end_exchanges() {
     // Notifies handlers that are still running, since their responses can no longer be delivered.
     for (std::size_t index = 0; index < m_exchanges.size(); ++index) {
@@ -237,11 +209,8 @@
 void http_server_connection::on_read_completed(const boost::system::error_code& failure, std::size_t bytes) {
     m_is_reading = false;
     wake();
-    if (!m_open) {
-        m_dropped_bytes += bytes;
-        m_input_ended = m_input_ended || failure;
+    if (!m_open)
         return;
-    }
     m_buffer.commit(boost::asio::buffer_copy(m_buffer.prepare(bytes), boost::asio::buffer(m_read_buffer.get(), bytes)));
     if (!failure) {
         // While a request handler occupies the connection's fiber, the next read is started here.
--- a/src/libraries/net/http_server_connection.h
+++ b/src/libraries/net/http_server_connection.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 
 // Include only from the sources of this library: the header pulls in Beast.
 
@@ -35,11 +36,10 @@
     /// True if a part of a request head has arrived and no request is in progress.
     bool is_receiving_head() const noexcept { return m_open && m_exchanges.empty() && m_buffer.size() > 0; }
 
-    /// True while the connection closes behind a response and waits for the caller to close.
+    /// True once the sending direction has ended behind a response. When `serve` has returned, the stream can be taken
+    /// to drop what the caller still sends.
     bool is_closing() const noexcept { return m_is_closing; }
-
-    /// Closes a connection for which `is_closing` is true without waiting for the caller.
-    void end_closing() noexcept;
+    http_stream take_stream() { return std::move(m_stream); }
 
     /// Closes the connection unless a request is in progress or was partly received.
     void close_if_idle();
@@ -101,7 +101,6 @@
     void wait_until_answered();
     void start_read();
     void close_when_idle();
-    void drop_input();
     void end_exchanges();
     void on_read_completed(const boost::system::error_code& failure, std::size_t bytes);
     void end_exchange(http_server_exchange& exchange);
@@ -118,9 +117,8 @@
     std::size_t m_queued_response_bytes = 0; ///< Bytes of responses that wait for earlier responses.
     bool m_is_reading = false;
     bool m_input_ended = false;
-    bool m_open = true;        ///< False once no further response can be sent.
-    bool m_is_closing = false; ///< The sending direction has ended; received bytes are dropped.
-    std::size_t m_dropped_bytes = 0;
+    bool m_open = true; ///< False once no further response can be sent.
+    bool m_is_closing = false;
     bool m_accepts_requests = true; ///< False once a request or a response specified that the connection closes.
     const bool* m_draining = nullptr;
 };
