Admit large bodies before they are read

A body was read whole before its account, its service and the memory for it were asked for, and a refusal then reset the connection.

--- a/src/libraries/gateway/request_gateway.cpp
+++ b/src/libraries/gateway/request_gateway.cpp
@@ -2,28 +2,18 @@
 
 #include "base/boot_clock.h"
 #include "base/http_status.h"
+#include "gateway/retry_after_text.h"
 #include "net/fiber_event.h"
 #include "net/fiber_runtime.h"
 
 #include <algorithm>
-#include <array>
 #include <charconv>
-#include <cstdio>
 #include <utility>
 
 namespace ragworthinge {
 
 namespace {
 
-constexpr std::size_t read_chunk_bytes = 16 * 1024;
-
-/// Formats seconds with three decimals, the form of Retry-After that callers accept.
-std::string to_seconds(duration time) {
-    std::array<char, 32> text{};
-    const int size = std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(time).count());
-    return {text.data(), static_cast<std::size_t>(size)};
-}
-
 std::chrono::milliseconds to_milliseconds(duration time) {
     return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
@@ -32,7 +22,7 @@
 
 /// State of one request while it is in progress.
 struct request_gateway::request_context {
-    explicit request_context(time_point now) : arrived_at(now) {}
+    request_context(time_point now, byte_budget& memory) : arrived_at(now), body_memory(memory) {}
 
     time_point arrived_at;
     caller_request caller;
@@ -44,7 +34,9 @@
     std::uint64_t fingerprint = 0;
     time_point answer_by;
     outgoing_request outgoing;
-    std::size_t held_bytes = 0;
+    byte_reservation body_memory;
+    bool is_body_read = false;
+    bool has_token = false; ///< A rate token of the account was taken and not given back.
 
     std::shared_ptr<attempt_canceller> canceller = std::make_shared<attempt_canceller>();
     bool caller_disconnected = false;
@@ -83,11 +75,11 @@
 }
 
 void request_gateway::handle(http_exchange& exchange) {
-    request_context request(boot_time_now());
+    request_context request(boot_time_now(), m_bodies.memory());
     m_in_progress.insert(&request);
-    if (admit(exchange, request) && read_body(exchange, request) && admit_account(exchange, request))
+    if (admit(exchange, request) && read_body(exchange, request) && admit_fingerprint(exchange, request) &&
+        admit_account(exchange, request))
         forward_request(exchange, request);
-    m_body_bytes -= request.held_bytes;
     m_in_progress.erase(&request);
 }
 
@@ -144,49 +136,54 @@
     return true;
 }
 
+bool request_gateway::admit_large_body(http_exchange& exchange, request_context& request) {
+    if (has_usable_upstream(m_components.fleet, *request.route, boot_time_now()))
+        return admit_account(exchange, request);
+    send_refusal(exchange, request, http_status::service_unavailable, "no upstream for a large body",
+                 m_options.default_retry_after);
+    return false;
+}
+
 bool request_gateway::read_body(http_exchange& exchange, request_context& request) {
     const std::size_t limit = request.table->configuration().limits.body_bytes;
-    std::array<char, read_chunk_bytes> chunk{};
-    std::string& body = request.outgoing.body;
-    for (;;) {
-        const auto size = exchange.read_body(chunk);
-        if (!size) {
-            log_completion(request, 0, "the caller's body did not arrive whole");
-            return false;
-        }
-        if (size.value() == 0)
-            break;
-        body.append(chunk.data(), size.value());
-        request.held_bytes += size.value();
-        m_body_bytes += size.value();
-        if (body.size() > limit) {
-            send_refusal(exchange, request, http_status::content_too_large, "the body is too large");
-            exchange.abort();
-            return false;
-        }
-        if (m_body_bytes > m_options.body_memory) {
-            send_refusal(exchange, request, http_status::service_unavailable, "too many bodies are held",
-                         m_options.default_retry_after);
-            exchange.abort();
-            return false;
-        }
-    }
-    return true;
+    if (m_bodies.asks_before_reading(exchange.request(), limit) && !admit_large_body(exchange, request))
+        return false;
+    const body_reader::ending end =
+        m_bodies.read(exchange, limit, request.answer_by, request.outgoing.body, request.body_memory);
+    request.is_body_read = end.is_complete;
+    if (end.is_complete)
+        return true;
+    refund_token(request);
+    if (end.status == 0)
+        log_completion(request, 0, end.reason);
+    else
+        send_refusal(exchange, request, end.status, end.reason, end.retry_after);
+    return false;
 }
 
-bool request_gateway::admit_account(http_exchange& exchange, request_context& request) {
-    const time_point now = boot_time_now();
+void request_gateway::refund_token(request_context& request) {
+    if (request.has_token && request.account != nullptr)
+        m_components.limiter.refund_token(request.account->name);
+    request.has_token = false;
+}
+
+bool request_gateway::admit_fingerprint(http_exchange& exchange, request_context& request) {
     const account_id account = request.account == nullptr ? account_id() : request.account->name;
     request.fingerprint = request_fingerprint(exchange.request(), account, request.outgoing.body);
-    if (m_components.crashes.is_refused(request.fingerprint, now)) {
-        send_refusal(exchange, request, http_status::service_unavailable, "the request crashes its upstreams",
-                     m_options.default_retry_after);
-        return false;
-    }
-    if (request.account == nullptr)
+    if (!m_components.crashes.is_refused(request.fingerprint, boot_time_now()))
+        return true;
+    refund_token(request);
+    send_refusal(exchange, request, http_status::service_unavailable, "the request crashes its upstreams",
+                 m_options.default_retry_after);
+    return false;
+}
+
+bool request_gateway::admit_account(http_exchange& exchange, request_context& request) {
+    if (request.account == nullptr || request.has_token)
         return true;
-    m_components.limiter.record_demand(account, now);
-    if (acquire_rate_token(request))
+    m_components.limiter.record_demand(request.account->name, boot_time_now());
+    request.has_token = acquire_rate_token(request);
+    if (request.has_token)
         return true;
     const duration wait = m_components.limiter.time_to_token(*request.account, boot_time_now());
     send_refusal(exchange, request, http_status::too_many_requests, "the account is over its rate", wait);
@@ -449,8 +446,7 @@
                      request.is_interrupted ? "this host stopped before the response" : request.last.problem);
         return;
     }
-    if (request.account != nullptr)
-        m_components.limiter.refund_token(request.account->name);
+    refund_token(request);
     const std::string_view reason = request.refusal.reason != nullptr && *request.refusal.reason != '\0'
                                         ? std::string_view(request.refusal.reason)
                                         : std::string_view(request.last.problem);
@@ -464,8 +460,10 @@
     head.fields.add("Content-Type", "text/plain");
     if (!request.caller.id.empty())
         head.fields.add(m_components.field_names.request_id, request.caller.id);
+    if (!request.is_body_read && m_bodies.is_large(exchange.request()))
+        head.fields.add("Connection", "close");
     if (retry_after > duration::zero())
-        head.fields.add("Retry-After", to_seconds(retry_after));
+        head.fields.add("Retry-After", retry_after_text(retry_after));
     static_cast<void>(respond(exchange, std::move(head), std::string(reason) + "\n"));
     log_completion(request, status, reason);
 }
--- a/src/libraries/gateway/request_gateway.h
+++ b/src/libraries/gateway/request_gateway.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/body_reader.h"
 #include "gateway/caller_request.h"
 #include "gateway/fleet_exchange.h"
 #include "gateway/header_field_names.h"
@@ -20,8 +21,7 @@
 class fiber_runtime;
 
 struct request_gateway_options {
-    /// Bytes of request bodies that are held at the same time: a fifth of the smallest host's memory of 160 MB.
-    std::size_t body_memory = 32UL * 1024 * 1024;
+    body_reader_options bodies;
     /// Longest time for which a request is held while no configuration is known. A started host reads the configuration
     /// within about 0.3 s, and callers give up after a third of their time limit, 0.5 s at the shortest.
     duration startup_hold_limit = std::chrono::milliseconds(400);
@@ -54,7 +54,7 @@
 class request_gateway {
 public:
     explicit request_gateway(request_gateway_components components, request_gateway_options options = {})
-        : m_components(components), m_options(options) {}
+        : m_components(components), m_options(options), m_bodies(components.runtime, options.bodies) {}
 
     /// Handles one request and sends the response. Blocks the fiber.
     void handle(http_exchange& exchange);
@@ -80,7 +80,10 @@
 
     bool admit(http_exchange& exchange, request_context& request);
     void wait_for_configuration(const request_context& request);
+    bool admit_fingerprint(http_exchange& exchange, request_context& request);
     bool admit_account(http_exchange& exchange, request_context& request);
+    bool admit_large_body(http_exchange& exchange, request_context& request);
+    void refund_token(request_context& request);
     bool acquire_rate_token(request_context& request);
     bool read_body(http_exchange& exchange, request_context& request);
     void forward_request(http_exchange& exchange, request_context& request);
@@ -102,7 +105,7 @@
     request_gateway_options m_options;
     traffic_splitter m_splitter;
     waiting_ticket m_last_ticket = 0;
-    std::size_t m_body_bytes = 0;
+    body_reader m_bodies;
     std::set<request_context*> m_in_progress;
     std::vector<known_object> m_new_objects;
 };
--- a/src/libraries/gateway/traffic_splitter.cpp
+++ b/src/libraries/gateway/traffic_splitter.cpp
@@ -1,5 +1,7 @@
 #include "gateway/traffic_splitter.h"
 
+#include "steering/fleet_state.h"
+
 #include <algorithm>
 
 namespace ragworthinge {
@@ -19,4 +21,12 @@
     return route.parts[static_cast<std::size_t>(selected - current_weights.begin())].service;
 }
 
+bool has_usable_upstream(const fleet_state& fleet, const steering_route& route, time_point now) {
+    return std::any_of(route.parts.begin(), route.parts.end(), [&](const traffic_part& part) {
+        const auto upstreams = fleet.upstreams_of(part.service);
+        return std::any_of(upstreams.begin(), upstreams.end(),
+                           [&](const auto& one) { return one->is_usable_except_quiet(now); });
+    });
+}
+
 } // namespace ragworthinge
--- a/src/libraries/gateway/traffic_splitter.h
+++ b/src/libraries/gateway/traffic_splitter.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/time.h"
 #include "steering/steering_configuration.h"
 
 #include <map>
@@ -8,6 +9,8 @@
 
 namespace ragworthinge {
 
+class fleet_state;
+
 /// Divides the requests of a route among its services by smooth weighted round robin, so that even a short sequence of
 /// requests has the configured shares.
 class traffic_splitter {
@@ -19,4 +22,8 @@
     std::map<std::string, std::vector<double>> m_current_weights; ///< By route name; one per service.
 };
 
+/// Whether a service of the route has an upstream that accepts requests, apart from upstreams that asked for quiet:
+/// only the placement knows when these return.
+bool has_usable_upstream(const fleet_state& fleet, const steering_route& route, time_point now);
+
 } // namespace ragworthinge
