--- a/src/libraries/gateway/body_reader.cpp
+++ b/src/libraries/gateway/body_reader.cpp
@@ -50,6 +50,9 @@
     const bool is_reserved_whole = head.content_length && is_large(head);
     if (is_reserved_whole && !reserve(reserved, static_cast<std::size_t>(*head.content_length), true, deadline))
         return no_memory();
+    if (is_reserved_whole)
+        body.reserve(
+            static_cast<std::size_t>(*head.content_length)); // Growth by doubling would take up to twice as much.
     std::array<char, read_chunk_bytes> chunk{};
     for (;;) {
         const auto size = exchange.read_body(chunk);
