--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -94,7 +94,7 @@
                                                              .field_names = m_adapter.field_names(),
                                                              .log = m_log,
                                                              .counters = m_metrics},
-                                                            {.body_memory = body_memory(m_settings)}) {
+                                                            {.bodies = {.memory = body_memory(m_settings)}}) {
     m_client.on_connect_time([this](const region_id& region, duration round_trip) {
         m_dispatcher.placements().record_distance(region, round_trip);
     });
