--- a/tests/gateway/body_reader_test.cpp
+++ b/tests/gateway/body_reader_test.cpp
@@ -108,6 +108,26 @@
     });
 }
 
+// Guards against a caller that does not read its response and holds up others.
+TEST_CASE("a slow reader does not delay other callers") {
+    gateway_fixture host;
+    constexpr std::size_t long_response = 8'000'000;
+    host.add_upstream("one", [](const auto& request) {
+        const std::size_t size = request["X-Id"] == "id-2" ? long_response : 10;
+        return scripted_upstream::reply{make_response(request, 200, std::string(size, 'r'))};
+    });
+    host.run([&] {
+        uploading_caller slow(host.runtime, host.server->port());
+        slow.send(
+            "GET /lots/7 HTTP/1.1\r\nHost: lots.example\r\nX-Id: id-2\r\nX-Key: secret-key\r\nX-Left-Ms: 4000\r\n\r\n");
+        host.runtime.sleep_for(100ms);
+        CHECK(host.client.held_response_bytes() == long_response);
+        const time_point started = monotonic_clock::now();
+        CHECK(host.send(host.make_request()).status == 200);
+        CHECK(monotonic_clock::now() - started < 200ms);
+    });
+}
+
 // Guards against uploads that together exceed the host's memory, and against refusing one that fits a moment later.
 TEST_CASE("uploads wait for memory for a bounded time and are then refused") {
     fiber_runtime runtime;
