Let the number of upstreams that know an object follow its demand

Cause: a popular object stayed on one upstream until its queue cost more than loading a copy, and where copies existed, requests preferred the first of them until it was full.

Change: each host counts the demand per object and extrapolates it to the hosts of its region. A request that comes anyway loads a further copy on a free slot if it meets its target there, or would miss it at the upstreams that know the object. The wanted copies share the requests by load. Where one copy carries the demand, nothing changes.

--- a/src/libraries/steering/placement_policy.cpp
+++ b/src/libraries/steering/placement_policy.cpp
@@ -107,6 +107,38 @@
     return list;
 }
 
+void placement_policy::count_region_hosts(const fleet_membership& membership, time_point now) {
+    if (m_region_hosts_counted_at && now - *m_region_hosts_counted_at < m_options.region_count_interval)
+        return;
+    m_region_hosts_counted_at = now;
+    const std::vector<entry_host> peers = membership.peers();
+    m_region_hosts =
+        1 + static_cast<std::size_t>(std::count_if(peers.begin(), peers.end(), [&](const entry_host& peer) {
+            return peer.region == m_options.own_region;
+        }));
+}
+
+std::size_t placement_policy::wanted_copies(const candidate_list& list, const placement_request& request,
+                                            const processing_time& typical, time_point now) const {
+    if (!is_by_object(request) || list.ranked.empty())
+        return 1;
+    return m_copies.wanted_copies(*request.object,
+                                  {.hosts = m_region_hosts,
+                                   .known_processing = typical.known_object,
+                                   .slots = list.ranked.front().upstream->description().slots},
+                                  now);
+}
+
+bool placement_policy::is_wanted_copy(const placement& best, const placement& copy, const placement_request& request,
+                                      time_point now) const {
+    if (copy.upstream == nullptr || !best.knows_object || !m_copies.may_load(*request.object, now))
+        return false;
+    const auto meets_target = [&](const placement& option) {
+        return option.distance + option.expected_wait + option.expected_processing <= request.route->target_latency;
+    };
+    return meets_target(copy) || !meets_target(best);
+}
+
 placement placement_policy::evaluate_upstream(const std::shared_ptr<observed_upstream>& upstream,
                                               const placement_request& request, const processing_time& typical,
                                               time_point now) const {
@@ -135,7 +167,8 @@
 }
 
 duration placement_policy::cost_of(const placement& option, const placement_request& request,
-                                   const processing_time& typical, std::size_t rank, time_point now) const {
+                                   const processing_time& typical, std::size_t rank, std::size_t wanted,
+                                   time_point now) const {
     const observed_upstream& upstream = *option.upstream;
     const bool by_object = is_by_object(request);
     const double rank_cost = option.knows_object ? m_options.known_rank_cost : m_options.rank_cost;
@@ -152,6 +185,9 @@
         by_object && upstream.known_objects() == 0 && rank == 0 && upstream.load() < slots_of(upstream);
     if (gets_first_object)
         return cost + typical.known_object / 2;
+    if (option.knows_object && wanted > 1)
+        cost += scale(typical.known_object,
+                      m_options.copy_load_weight * std::min(1.0, upstream.load() / slots_of(upstream)));
     if (option.knows_object || !by_object)
         return cost + option.expected_processing;
     const bool is_copy_for_region = is_regional(typical) && upstream.region() == m_options.own_region;
@@ -171,13 +207,22 @@
     // Objects whose responses are expensive to transfer are cached in each region, so each region has its own ranking.
     const bool by_region = is_regional(typical);
     const bool is_known = is_known_to_sound_upstream(list, request, typical, now);
+    count_region_hosts(membership, now);
+    const std::size_t wanted = wanted_copies(list, request, typical, now);
+    std::size_t known_copies = 0;
+    placement further_copy;
     std::map<region_id, std::size_t> next_ranks;
     for (std::size_t place = 0; place < list.ranked.size(); ++place) {
         const auto& upstream = list.ranked[place].upstream;
         const bool is_own_region = upstream->region() == m_options.own_region;
-        const std::size_t rank = by_region ? next_ranks[upstream->region()]++ : place;
+        const bool knows_object = is_by_object(request) && upstream->knows_object(*request.object);
+        std::size_t rank = by_region ? next_ranks[upstream->region()]++ : place;
+        // The copies of a popular object are used alike, whatever upstreams rank between them.
+        if (knows_object && wanted > 1)
+            rank = known_copies < wanted ? 0 : rank;
+        known_copies += knows_object ? 1 : 0;
         // Another copy on a busy upstream would occupy a slot for several times as long and displace other objects.
-        const bool is_additional_copy = is_known && !upstream->knows_object(*request.object);
+        const bool is_additional_copy = is_known && !knows_object;
         if (is_additional_copy && upstream->load() >= slots_of(*upstream)) {
             any_too_late = true;
             continue;
@@ -190,7 +235,9 @@
         const bool is_local = is_own_region && upstream->load() < slots_of(*upstream);
         if (local_option.upstream == nullptr && is_by_object(request) && is_local && !upstream->is_cold(now))
             local_option = option;
-        const duration cost = cost_of(option, request, typical, rank, now);
+        if (is_additional_copy && further_copy.upstream == nullptr && !upstream->is_cold(now))
+            further_copy = option;
+        const duration cost = cost_of(option, request, typical, rank, wanted, now);
         if (best_cost && cost >= *best_cost)
             continue;
         best_cost = cost;
@@ -200,6 +247,12 @@
         m_last_local_copy = now;
         best = local_option;
     }
+    if (best_cost && known_copies < wanted && is_wanted_copy(best, further_copy, request, now)) {
+        m_copies.record_load(*request.object, now);
+        best = further_copy;
+    }
+    if (best_cost && is_by_object(request) && request.tried.empty())
+        m_copies.record_request(*request.object, now);
     best.candidates = list.ranked.size();
     best.quiet_until = list.quiet_until;
     if (!best_cost && list.any_rate_limited)
--- a/src/libraries/steering/placement_policy.h
+++ b/src/libraries/steering/placement_policy.h
@@ -3,6 +3,7 @@
 #include "base/time.h"
 #include "steering/cold_start_limiter.h"
 #include "steering/fleet_state.h"
+#include "steering/object_copies.h"
 #include "steering/processing_time_estimator.h"
 
 #include <cstdint>
@@ -51,6 +52,11 @@
     /// Multiple of the processing time of an unknown object that the remaining time must allow, so that the caller's
     /// deadline is not risked for the sake of a shorter path.
     double local_copy_margin = 1.5;
+    /// Weight of an upstream's load when requests are spread over the copies of a popular object, as a fraction of the
+    /// processing time for a full upstream.
+    double copy_load_weight = 0.5;
+    /// Interval at which the hosts of the own region are counted.
+    duration region_count_interval = std::chrono::seconds(1);
     double cold_processing_factor =
         2; ///< Factor on the processing time of a cold upstream, which takes about twice as long.
 };
@@ -95,8 +101,8 @@
 /// loading it into the cache of another one), bursts (an object is loaded into further caches only on free slots, since
 /// a busy fleet that loads objects anew gets busier), upstreams that become slow or fail (their processing time counts
 /// several times), uneven regions (distance is weighed against processing and waiting time instead of taking
-/// precedence), and mass restarts (all hosts rank the upstreams of an object alike, so that each object is loaded into
-/// few caches).
+/// precedence), popular objects (the number of upstreams that know one follows its demand), and mass restarts (all
+/// hosts rank the upstreams of an object alike, so that each object is loaded into few caches).
 class placement_policy {
 public:
     /// Whether this host has an open connection to the upstream that requests of the route may use.
@@ -132,6 +138,18 @@
     candidate_list list_candidates(const placement_request& request, const fleet_state& fleet,
                                    const fleet_membership& membership, time_point now) const;
 
+    /// Counts the hosts of the own region, at intervals.
+    void count_region_hosts(const fleet_membership& membership, time_point now);
+
+    /// Number of upstreams that should know the request's object.
+    std::size_t wanted_copies(const candidate_list& list, const placement_request& request,
+                              const processing_time& typical, time_point now) const;
+
+    /// Whether the request should load a further copy of a popular object on a free slot. It does so only if it still
+    /// meets its target there, or would miss it at the best upstream that knows the object.
+    bool is_wanted_copy(const placement& best, const placement& copy, const placement_request& request,
+                        time_point now) const;
+
     /// Whether an upstream knows the object and is neither so slow nor failing so often that one that has to load it
     /// would serve the request sooner.
     bool is_known_to_sound_upstream(const candidate_list& list, const placement_request& request,
@@ -141,7 +159,7 @@
     placement evaluate_upstream(const std::shared_ptr<observed_upstream>& upstream, const placement_request& request,
                                 const processing_time& typical, time_point now) const;
     duration cost_of(const placement& option, const placement_request& request, const processing_time& typical,
-                     std::size_t rank, time_point now) const;
+                     std::size_t rank, std::size_t wanted, time_point now) const;
     /// Cost of transferring an average response between regions, in addition to the fixed cost.
     duration transfer_cost(const processing_time& typical) const;
 
@@ -156,6 +174,9 @@
     cold_start_limiter m_cold_start_limiter;
     std::map<region_id, duration> m_distances;
     time_point m_last_local_copy;
+    object_copies m_copies;
+    std::size_t m_region_hosts = 1;
+    std::optional<time_point> m_region_hosts_counted_at;
 };
 
 } // namespace ragworthinge
--- a/tests/steering/load_simulation.cpp
+++ b/tests/steering/load_simulation.cpp
@@ -198,7 +198,9 @@
     ++m_results.requested;
     auto request = std::make_shared<simulated_request>();
     request->entry = &entry;
-    const unsigned object = m_random() % m_options.objects;
+    unsigned object = m_random() % m_options.objects;
+    if (m_options.popular_share > 0 && std::uniform_real_distribution<double>(0, 1)(m_random) < m_options.popular_share)
+        object = m_options.popular_object(m_now - test_start);
     // Each route has a quarter of the rate of the one before.
     unsigned route = 0;
     while (route + 1 < m_options.routes && m_random() % 4 == 0)
@@ -298,8 +300,10 @@
 void load_simulation::begin_service(fake_upstream& upstream, const std::shared_ptr<simulated_request>& request) {
     upstream.running.insert(request);
     std::uniform_real_distribution<double> spread(0.85, 1.15);
-    const duration typical =
-        upstream.knows(request->cache_entry) ? m_options.known_processing : m_options.unknown_processing;
+    const bool is_known = upstream.knows(request->cache_entry);
+    ++m_results.executed;
+    m_results.known += is_known ? 1 : 0;
+    const duration typical = is_known ? m_options.known_processing : m_options.unknown_processing;
     const auto taken = std::chrono::duration_cast<duration>(typical * (spread(m_random) * upstream.factor));
     at(m_now + taken, [this, request, &upstream] {
         if (request->is_done || !upstream.running.contains(request))
--- a/tests/steering/load_simulation.h
+++ b/tests/steering/load_simulation.h
@@ -30,6 +30,11 @@
     unsigned slots = 4;
     std::size_t object_cache_size = 20; ///< Number of objects that an upstream keeps in its cache.
     unsigned objects = 24;
+    double popular_share = 0; ///< Fraction of the requests that concern the popular object.
+    /// The popular object as a function of the time since the start.
+    std::function<unsigned(duration)> popular_object = [](duration) {
+        return 0U;
+    };
     unsigned routes = 1; ///< Routes that share the service and the names of the objects.
     /// Time until a report reaches the other hosts.
     duration report_delay{0};
@@ -61,6 +66,8 @@
     std::size_t retried = 0;                     ///< Callers that retried after a refusal.
     std::size_t retried_served = 0;              ///< Retries that got a response.
     std::size_t refused_after_wait = 0;          ///< Waited for more than an eighth of the target before being refused.
+    std::size_t known = 0;                       ///< Executed where the object was known.
+    std::size_t executed = 0;                    ///< Begun by an upstream.
     std::map<std::string, std::size_t> arrivals; ///< By upstream.
 
     std::map<std::string, std::size_t> requested_by_route;
