Try a region again whose hosts have all timed out

Cause: reporter_of left out registered hosts that had timed out. Where all hosts of a region had, it named nobody and no report was sent there: two regions that had timed each other out, at the start or in a partition, never met again. Each then took another host for the owner of pools, which granted nothing.

Fix: a region without a live host is tried at its registered hosts.

Test: steering, "a region whose hosts have all timed out is tried again". Before: REQUIRE(tried) failed.

--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -163,8 +163,9 @@
     return leaving;
 }
 
-std::optional<host_id> fleet_membership::reporter_of(const region_id& region, const std::set<host_id>& unreachable,
-                                                     time_point now) const {
+std::vector<host_id> fleet_membership::reporter_candidates(const region_id& region,
+                                                           const std::set<host_id>& unreachable, bool with_timed_out,
+                                                           time_point now) const {
     std::vector<host_id> candidates;
     double capacity = 0;
     for (const auto& [name, known] : m_members) {
@@ -172,7 +173,7 @@
         const bool leaves = is_self ? m_leaving : known.report.is_leaving;
         if (known.host.region != region || unreachable.contains(name) || leaves)
             continue;
-        if (!is_self && !is_live(known, now) && (known.withdrawn_at || is_timed_out(known, now)))
+        if (!is_self && !is_live(known, now) && (known.withdrawn_at || (!with_timed_out && is_timed_out(known, now))))
             continue;
         // Serving region updates takes a considerable part of a weak host's processor and would delay its callers.
         if (known.host.capacity > capacity * m_options.capacity_step)
@@ -182,6 +183,15 @@
         if (known.host.capacity * m_options.capacity_step >= capacity)
             candidates.push_back(name);
     }
+    return candidates;
+}
+
+std::optional<host_id> fleet_membership::reporter_of(const region_id& region, const std::set<host_id>& unreachable,
+                                                     time_point now) const {
+    std::vector<host_id> candidates = reporter_candidates(region, unreachable, false, now);
+    // Two regions that have timed each other out hear of each other again only if one of them tries.
+    if (candidates.empty() && region != m_options.region)
+        candidates = reporter_candidates(region, unreachable, true, now);
     if (region == m_options.region && !m_members.contains(m_options.self) && !m_leaving)
         candidates.push_back(m_options.self);
     if (candidates.empty() && !unreachable.empty())
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -91,8 +91,9 @@
     bool uses_reporters() const { return size() > m_options.direct_fleet_size; }
 
     /// Returns the host that aggregates the reports of its region. All hosts apply the same ranking to the most capable
-    /// hosts that are not leaving and that are either live or registered and not timed out. Hosts in `unreachable` are
-    /// skipped unless none remains: after a partition between regions, one of them must be tried again.
+    /// hosts that are not leaving and that are either live or registered and not timed out; of another region without
+    /// such a host, to its registered ones. Hosts in `unreachable` are skipped unless none remains: after a partition
+    /// between regions, one of them must be tried again.
     std::optional<host_id> reporter_of(const region_id& region, const std::set<host_id>& unreachable,
                                        time_point now) const;
 
@@ -127,6 +128,10 @@
     /// Returns the demand of the other hosts of this region, from direct reports.
     std::map<account_id, double> region_demands(time_point now) const;
 
+    /// The most capable hosts of a region that may be its reporter, with or without registered hosts that timed out.
+    std::vector<host_id> reporter_candidates(const region_id& region, const std::set<host_id>& unreachable,
+                                             bool with_timed_out, time_point now) const;
+
     /// Returns the fraction of an account's demand that arrives in this region; for use by the region's reporter. It is
     /// based on the lowest of the region's last sums, so that no region weighs its own demand higher than the other
     /// regions do.
--- a/tests/steering/fleet_membership_test.cpp
+++ b/tests/steering/fleet_membership_test.cpp
@@ -189,6 +189,36 @@
     CHECK(first.reporter_of("gulf", {}, test_start + 1s) != reporter);
 }
 
+// Guards against two regions that time each other out, in a partition or while both start, and that never send each
+// other a report again, since neither knows a live host of the other.
+TEST_CASE("a region whose hosts have all timed out is tried again") {
+    fleet_membership fleet = make_membership("a");
+    fleet.announce(make_host("a"), test_start);
+    for (const std::string name : {"d", "e"})
+        fleet.announce(make_host(name, 1, "delta"), test_start);
+    fleet.record_region_report(region_report_of("d"), test_start);
+    const time_point later = test_start + 1min;
+    REQUIRE_FALSE(fleet.is_live("d", later));
+    REQUIRE_FALSE(fleet.is_live("e", later));
+    const auto tried = fleet.reporter_of("delta", {}, later);
+    REQUIRE(tried);
+    const auto next = fleet.reporter_of("delta", {*tried}, later);
+    REQUIRE(next);
+    CHECK(*next != *tried);
+    CHECK(fleet.reporter_of("delta", {"d", "e"}, later) == tried);
+
+    SECTION("but not its hosts without an entry in the store") {
+        fleet.withdraw("d", later);
+        fleet.withdraw("e", later);
+        CHECK_FALSE(fleet.reporter_of("delta", {}, later + 1s));
+    }
+    SECTION("and a live host goes before those that have timed out") {
+        const auto other = *tried == "d" ? "e" : "d";
+        fleet.record_region_report(region_report_of(other), later);
+        CHECK(fleet.reporter_of("delta", {}, later) == host_id(other));
+    }
+}
+
 // Guards against a region report that omits a host of the region or loses the ages of reports.
 TEST_CASE("a region report sums the reports of its region") {
     fleet_membership fleet = make_membership("a");
