--- a/src/libraries/configuration/configuration_reviewer.cpp
+++ b/src/libraries/configuration/configuration_reviewer.cpp
@@ -1,6 +1,7 @@
 #include "configuration/configuration_reviewer.h"
 
 #include "configuration/configuration_validator.h"
+#include "configuration/element_path.h"
 #include "configuration/ip_address.h"
 
 #include <algorithm>
@@ -12,10 +13,6 @@
 
 namespace {
 
-std::string at(std::string_view list, std::size_t position) {
-    return std::string(list) + "[" + std::to_string(position) + "]";
-}
-
 bool is_in_effect(const drain_configuration& drain) {
     return drain.state == drain_state::planned || drain.state == drain_state::running;
 }
@@ -90,7 +87,7 @@
 void configuration_reviewer::review_services() {
     for (std::size_t i = 0; i < m_configuration.services.size(); ++i) {
         const auto& service = m_configuration.services[i];
-        const auto path = at("services", i);
+        const auto path = element_path("services", i);
         const bool is_routed =
             std::any_of(m_configuration.routes.begin(), m_configuration.routes.end(),
                         [&](const route_configuration& route) { return route.service == service.name; });
@@ -125,7 +122,7 @@
 void configuration_reviewer::review_routes() {
     for (std::size_t i = 0; i < m_configuration.routes.size(); ++i) {
         const auto& route = m_configuration.routes[i];
-        const auto path = at("routes", i);
+        const auto path = element_path("routes", i);
         review_nested_route(route, path);
         if (route.open)
             continue;
@@ -135,7 +132,8 @@
         }
         for (std::size_t j = 0; j < route.accounts.size(); ++j) {
             if (!has_key(route.accounts[j]))
-                report(path + at(".accounts", j), "the client account has no key, so this entry can never match");
+                report(path + element_path(".accounts", j),
+                       "the client account has no key, so this entry can never match");
         }
     }
 }
@@ -150,7 +148,7 @@
     for (std::size_t i = 0; i < m_configuration.client_accounts.size(); ++i) {
         const auto& account = m_configuration.client_accounts[i];
         if (!has_key(account.name))
-            report(at("client_accounts", i) + ".name",
+            report(element_path("client_accounts", i) + ".name",
                    "the client account has no key, so none of its requests can be recognised");
     }
 }
@@ -159,7 +157,7 @@
     const auto& shifts = m_configuration.shifts;
     for (std::size_t i = 0; i < shifts.size(); ++i) {
         if (is_active(shifts[i].state))
-            review_shift(shifts[i], at("shifts", i));
+            review_shift(shifts[i], element_path("shifts", i));
     }
 }
 
@@ -177,7 +175,7 @@
         for (std::size_t i = 0; i < shift.services.size(); ++i) {
             const auto& service = shift.services[i];
             if (std::find(other.services.begin(), other.services.end(), service) != other.services.end())
-                report(path + at(".services", i),
+                report(path + element_path(".services", i),
                        "the shift '" + other.id + "' moves the service in the other direction");
         }
     }
@@ -186,7 +184,7 @@
             const bool is_here = std::any_of(service.upstreams.begin(), service.upstreams.end(),
                                              [&](const auto& upstream) { return upstream.region == shift.from; });
             if (service.name == shift.services[i] && !is_here)
-                report(path + at(".services", i),
+                report(path + element_path(".services", i),
                        "the service has no upstream in region '" + shift.from + "', so there is nothing to move");
         }
     }
@@ -207,7 +205,7 @@
             enclosing.pop_back();
         if (!enclosing.empty() && m_configuration.client_blocks[enclosing.back().second].site ==
                                       m_configuration.client_blocks[block.second].site)
-            report(at("client_blocks", block.second) + ".prefix",
+            report(element_path("client_blocks", block.second) + ".prefix",
                    "has no effect: '" + to_text(enclosing.back().first) + "' names the same site");
         enclosing.push_back(block);
     }
--- a/src/libraries/configuration/configuration_validator.cpp
+++ b/src/libraries/configuration/configuration_validator.cpp
@@ -1,5 +1,6 @@
 #include "configuration/configuration_validator.h"
 
+#include "configuration/element_path.h"
 #include "configuration/ip_address.h"
 #include "configuration/nearest_name.h"
 #include "configuration/path_prefix.h"
@@ -15,10 +16,6 @@
 
 constexpr std::size_t digest_characters = 64;
 
-std::string at(std::string_view list, std::size_t position) {
-    return std::string(list) + "[" + std::to_string(position) + "]";
-}
-
 template <class Map>
 std::vector<std::string> keys_of(const Map& map) {
     std::vector<std::string> keys;
@@ -93,11 +90,11 @@
 void configuration_validator::check_regions() {
     for (std::size_t i = 0; i < m_configuration.regions.size(); ++i) {
         const auto& region = m_configuration.regions[i];
-        const auto path = at("regions", i);
+        const auto path = element_path("regions", i);
         add_name(m_regions, region.name, i, path + ".name", "region");
         // A drain names a failure domain without its region, so the name must be unique in the fleet.
         for (std::size_t j = 0; j < region.failure_domains.size(); ++j)
-            add_name(m_failure_domains, region.failure_domains[j], i, path + at(".failure_domains", j),
+            add_name(m_failure_domains, region.failure_domains[j], i, path + element_path(".failure_domains", j),
                      "failure domain");
     }
     if (m_configuration.regions.empty())
@@ -107,7 +104,7 @@
 void configuration_validator::check_links() {
     for (std::size_t i = 0; i < m_configuration.links.size(); ++i) {
         const auto& link = m_configuration.links[i];
-        const auto path = at("links", i);
+        const auto path = element_path("links", i);
         check_reference(m_regions, link.from, path + ".from", "region");
         check_reference(m_regions, link.to, path + ".to", "region");
         if (!link.from.empty() && link.from == link.to)
@@ -120,10 +117,10 @@
 void configuration_validator::check_services() {
     for (std::size_t i = 0; i < m_configuration.services.size(); ++i) {
         const auto& service = m_configuration.services[i];
-        const auto path = at("services", i);
+        const auto path = element_path("services", i);
         add_name(m_services, service.name, i, path + ".name", "service");
         for (std::size_t j = 0; j < service.upstreams.size(); ++j) {
-            const auto upstream_path = path + at(".upstreams", j);
+            const auto upstream_path = path + element_path(".upstreams", j);
             add_name(m_upstreams, service.upstreams[j].name, j, upstream_path + ".name", "upstream");
             check_upstream(service.upstreams[j], upstream_path);
         }
@@ -166,13 +163,13 @@
 
 void configuration_validator::check_accounts() {
     for (std::size_t i = 0; i < m_configuration.client_accounts.size(); ++i)
-        add_name(m_accounts, m_configuration.client_accounts[i].name, i, at("client_accounts", i) + ".name",
+        add_name(m_accounts, m_configuration.client_accounts[i].name, i, element_path("client_accounts", i) + ".name",
                  "client account");
 }
 
 void configuration_validator::check_routes() {
     for (std::size_t i = 0; i < m_configuration.routes.size(); ++i)
-        check_route(m_configuration.routes[i], at("routes", i));
+        check_route(m_configuration.routes[i], element_path("routes", i));
     check_prefix_pairs();
 }
 
@@ -186,17 +183,17 @@
         report(path + ".accounts", "an open route needs no key and cannot be limited to client accounts");
     std::set<std::string> seen;
     for (std::size_t i = 0; i < route.accounts.size(); ++i) {
-        check_reference(m_accounts, route.accounts[i], path + at(".accounts", i), "client account");
+        check_reference(m_accounts, route.accounts[i], path + element_path(".accounts", i), "client account");
         if (!seen.insert(route.accounts[i]).second)
-            report(path + at(".accounts", i), "is listed twice");
+            report(path + element_path(".accounts", i), "is listed twice");
     }
     seen.clear();
     for (std::size_t i = 0; i < route.idempotent_methods.size(); ++i) {
         const auto& method = route.idempotent_methods[i];
         if (std::find(methods.begin(), methods.end(), method) == methods.end())
-            report(path + at(".idempotent_methods", i), "is no known method", suggest_name(method, methods));
+            report(path + element_path(".idempotent_methods", i), "is no known method", suggest_name(method, methods));
         if (!seen.insert(method).second)
-            report(path + at(".idempotent_methods", i), "is listed twice");
+            report(path + element_path(".idempotent_methods", i), "is listed twice");
     }
 }
 
@@ -205,7 +202,7 @@
     std::map<std::string, std::string> folded;
     for (std::size_t i = 0; i < m_configuration.routes.size(); ++i) {
         const auto& prefix = m_configuration.routes[i].path_prefix;
-        const auto path = at("routes", i) + ".path_prefix";
+        const auto path = element_path("routes", i) + ".path_prefix";
         if (prefix.empty())
             continue;
         if (!prefixes.emplace(prefix, i).second) {
@@ -217,7 +214,7 @@
             report(path, "is ambiguous: differs from '" + similar->second + "' only in upper and lower case");
     }
     for (const auto& [prefix, i] : prefixes) {
-        const auto path = at("routes", i) + ".path_prefix";
+        const auto path = element_path("routes", i) + ".path_prefix";
         for (std::size_t length = 1; length < prefix.size(); ++length) {
             const bool listed = prefixes.contains(prefix.substr(0, length));
             if (!listed || prefix[length - 1] == '/')
@@ -237,7 +234,7 @@
     std::map<std::string, std::string> digests;
     for (std::size_t i = 0; i < m_configuration.keys.size(); ++i) {
         const auto& key = m_configuration.keys[i];
-        const auto path = at("keys", i);
+        const auto path = element_path("keys", i);
         add_name(ids, key.id, i, path + ".id", "key");
         check_reference(m_accounts, key.account, path + ".account", "client account");
         if (!key.digest.empty() && !is_hex_digest(key.digest))
@@ -251,7 +248,7 @@
 void configuration_validator::check_shifts() {
     index ids;
     for (std::size_t i = 0; i < m_configuration.shifts.size(); ++i) {
-        const auto path = at("shifts", i);
+        const auto path = element_path("shifts", i);
         add_name(ids, m_configuration.shifts[i].id, i, path + ".id", "shift");
         check_shift(m_configuration.shifts[i], path);
     }
@@ -263,7 +260,7 @@
     check_reference(m_regions, shift.to, path + ".to", "region");
     std::set<std::string> seen;
     for (std::size_t i = 0; i < shift.services.size(); ++i) {
-        const auto service_path = path + at(".services", i);
+        const auto service_path = path + element_path(".services", i);
         check_reference(m_services, shift.services[i], service_path, "service");
         if (!seen.insert(shift.services[i]).second)
             report(service_path, "is listed twice");
@@ -304,7 +301,7 @@
         const auto& shift = m_configuration.shifts[i];
         if (!is_active(shift.state))
             continue;
-        const auto path = at("shifts", i);
+        const auto path = element_path("shifts", i);
         const auto link = m_links.find({shift.from, shift.to});
         auto& megabit_sum = megabits[{shift.from, shift.to}];
         megabit_sum += shift.cap_megabits_per_second;
@@ -325,7 +322,7 @@
     index ids;
     for (std::size_t i = 0; i < m_configuration.drains.size(); ++i) {
         const auto& drain = m_configuration.drains[i];
-        const auto path = at("drains", i);
+        const auto path = element_path("drains", i);
         add_name(ids, drain.id, i, path + ".id", "drain");
         if (!drain.target.empty())
             check_drain_target(drain.target, path + ".target");
@@ -361,19 +358,19 @@
     for (std::size_t i = 0; i < m_configuration.client_blocks.size(); ++i) {
         const auto& block = m_configuration.client_blocks[i];
         if (!m_regions.contains(block.site))
-            check_reference(m_regions, block.site, at("client_blocks", i) + ".site", "region");
+            check_reference(m_regions, block.site, element_path("client_blocks", i) + ".site", "region");
         if (block.prefix.empty())
             continue;
         const auto prefix = parse_ip_prefix(block.prefix);
         if (!prefix)
-            report(at("client_blocks", i) + ".prefix", prefix.error().message);
+            report(element_path("client_blocks", i) + ".prefix", prefix.error().message);
         else
             prefixes.emplace_back(prefix.value(), i);
     }
     std::sort(prefixes.begin(), prefixes.end());
     for (std::size_t i = 1; i < prefixes.size(); ++i)
         if (prefixes[i].first == prefixes[i - 1].first)
-            report(at("client_blocks", prefixes[i].second) + ".prefix", "another block has the same prefix");
+            report(element_path("client_blocks", prefixes[i].second) + ".prefix", "another block has the same prefix");
 }
 
 } // namespace ragworthinge
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -86,8 +86,8 @@
     void reload_settings(std::string_view cause);
     void run_maintenance();
     void stop();
-    /// Returns when no request is in progress, or at the deadline.
-    /// Waits until no request is in progress or partly received, at most until the deadline.
+    /// Waits until no request is in progress or partly received and no connection closes behind a response, at most
+    /// until the deadline.
     void wait_for_requests(time_point deadline);
     bool is_ready() const;
 
