Log the allowed regions of requests and count requests by account

From the request lines it could only be guessed by the number of candidates that an account is bound to some regions, and no metric told its share of answers from that of others. Both are needed to tell a lack of room in an account's regions from a lack of rate tokens.

--- a/src/libraries/gateway/request_gateway.cpp
+++ b/src/libraries/gateway/request_gateway.cpp
@@ -17,6 +17,16 @@
     return std::chrono::duration_cast<std::chrono::milliseconds>(time);
 }
 
+/// Names of the regions, for the log.
+std::string to_text(const std::optional<std::vector<region_id>>& regions) {
+    if (!regions)
+        return "all";
+    std::string text;
+    for (const region_id& region : *regions)
+        text += (text.empty() ? "" : ",") + region;
+    return text;
+}
+
 } // namespace
 
 /// State of one request while it is in progress.
@@ -403,12 +413,17 @@
     const std::string reported_load{
         request.last.head.fields.find(m_components.field_names.upstream_load).value_or(std::string_view())};
     const duration left = has_limit ? request.answer_by - boot_time_now() : duration::zero();
+    const auto regions =
+        request.route == nullptr
+            ? std::nullopt
+            : allowed_regions(*request.route, request.account == nullptr ? nullptr : &request.account->allowed_regions);
     m_components.log.write(
         log_level::info, "request", field("request", request.caller.id), field("route", route),
         field("account", account), field("service", request.service), field("object", request.object.value_or(0)),
-        field("status", status), field("reason", reason), field("attempts", request.attempts),
-        field("upstream", upstream), field("taken", to_milliseconds(taken)), field("target", target),
-        field("waited", to_milliseconds(request.waited)), field("connecting", to_milliseconds(request.connecting)),
+        field("regions", to_text(regions)), field("status", status), field("reason", reason),
+        field("attempts", request.attempts), field("upstream", upstream), field("taken", to_milliseconds(taken)),
+        field("target", target), field("waited", to_milliseconds(request.waited)),
+        field("connecting", to_milliseconds(request.connecting)),
         field("last_attempt", to_milliseconds(request.last_attempt)),
         field("distance", to_milliseconds(request.placed_last.distance)),
         field("expected_load", request.placed_last.load), field("reported_load", reported_load),
@@ -420,6 +435,9 @@
         field("knows_object", request.placed_last.knows_object), field("fleet_revision", m_components.fleet.revision()),
         field("fleet_age", to_milliseconds(m_components.fleet.age(boot_time_now()))));
     m_components.counters.add("ragworthinge_requests_total", {{"route", route}, {"status", std::to_string(status)}});
+    m_components.counters.add(
+        "ragworthinge_account_requests_total",
+        {{"account", account}, {"regions", to_text(regions)}, {"status", std::to_string(status)}});
     if (status != 0)
         m_components.counters.observe_latency({.service = request.service, .region = {}, .account = account}, taken);
 }
--- a/src/libraries/steering/steering_configuration.h
+++ b/src/libraries/steering/steering_configuration.h
@@ -43,6 +43,11 @@
     std::vector<region_id> allowed_regions; ///< Empty: all.
 };
 
+/// Regions whose upstreams may get the requests of an account on a route; absent: all. Both lists bind, so there may be
+/// no region left. `account_regions` may be null.
+std::optional<std::vector<region_id>> allowed_regions(const steering_route& route,
+                                                      const std::vector<region_id>* account_regions);
+
 /// A service and the limits of its upstreams.
 struct steering_service {
     service_id name;
