Share the room of a short region among the accounts bound to it

Cause: nothing bounded what hosts sent to upstreams that requests cannot leave. Views of the load are up to 1.6 s old and every host takes the upstream with the lowest one, so queues filled, half of what was sent ended at its time limit and the slot time was lost. And the room was given in order of arrival.

Change: in a shortage each host keeps to its part of the slots, by its part of the demand; accounts within their max-min fair share are sent beyond it; what is left is refused at once; requests with other regions leave the room to those without.

--- a/src/libraries/gateway/attempt_runner.cpp
+++ b/src/libraries/gateway/attempt_runner.cpp
@@ -17,6 +17,8 @@
     m_components.counters.add("ragworthinge_sends_total", {{"service", service},
                                                            {"region", placed.upstream->region()},
                                                            {"knows_object", placed.knows_object ? "true" : "false"}});
+    if (placed.room != nullptr)
+        placed.room->record_start(boot_time_now());
     return placed.upstream->start_attempt(placed.expected_processing + placed.distance, boot_time_now());
 }
 
@@ -65,8 +67,12 @@
             end = attempt_end::cancelled;
         break;
     }
+    const time_point sent_at = assigned.running->sent_at;
     upstream.end_attempt(assigned.running, end, assigned.placed.distance + assigned.placed.expected_wait, now);
     record_reported_load(upstream, attempt.head);
+    if (assigned.placed.room != nullptr)
+        assigned.placed.room->record_end(end == attempt_end::answered ? std::optional(now - sent_at) : std::nullopt,
+                                         now);
     if (attempt.type == upstream_attempt::kind::broken && attempt.connection_lost && end != attempt_end::cancelled)
         check_for_crash(assigned);
     if (attempt.wrong_upstream) {
--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -224,9 +224,22 @@
     m_metrics.set("ragworthinge_peer_bytes", {}, static_cast<double>(m_exchange.bytes_transferred()));
     m_metrics.set("ragworthinge_room_share", {}, m_membership.room_share(boot_time_now()));
     m_metrics.set("ragworthinge_members", {}, static_cast<double>(m_membership.size()));
+    set_room_metrics();
     respond_with_text(exchange, http_status::ok, "text/plain", m_metrics.to_prometheus_text());
 }
 
+void gateway_process::set_room_metrics() {
+    for (const auto& [key, room] : m_dispatcher.rooms()) {
+        std::string regions;
+        for (const region_id& region : key.second)
+            regions += (regions.empty() ? "" : ",") + region;
+        const metric_labels labels{{"service", key.first}, {"regions", regions}};
+        m_metrics.set("ragworthinge_regional_room_short", labels, room->is_short() ? 1 : 0);
+        m_metrics.set("ragworthinge_regional_room_limit", labels, room->limit());
+        m_metrics.set("ragworthinge_regional_room_refused", labels, room->refused_fraction(boot_time_now()));
+    }
+}
+
 void gateway_process::apply_fleet_change() {
     m_registration->compare_with_store(m_fleet.hosts(), m_synchronizer->revision());
     if (m_fleet.table() == nullptr)
@@ -357,6 +370,7 @@
     m_shares_updated_at = now;
     if (m_fleet.table() != nullptr)
         m_limiter.update_shares(*m_fleet.table(), m_membership, now);
+    m_dispatcher.set_demand_shares(m_limiter.demand_shares());
 }
 
 void gateway_process::update_others_in_flight(time_point now) {
--- a/src/libraries/gateway/gateway_process.h
+++ b/src/libraries/gateway/gateway_process.h
@@ -69,6 +69,7 @@
     void handle_readiness(http_exchange& exchange);
     void handle_lookup(http_exchange& exchange);
     void handle_metrics(http_exchange& exchange);
+    void set_room_metrics();
     void wait_for_signals();
     void open_exchange();
     void send_first_reports();
--- a/src/libraries/steering/account_limiter.cpp
+++ b/src/libraries/steering/account_limiter.cpp
@@ -146,6 +146,11 @@
         m_pool_owners.clear();
     }
 
+    struct demand_sum {
+        double own = 0;
+        double all = 0;
+    };
+    std::map<std::vector<region_id>, demand_sum> sums;
     for (const steering_account& account : table.configuration().accounts) {
         account_state& state = state_of(account, now);
         state.own.refill(account, now);
@@ -164,6 +169,11 @@
             const bool is_uncounted = m_uses_reporters && found == views->end() && own > 0;
             if (own + view.others > 0 && !is_uncounted)
                 demand_share = view.region_fraction * own / (own + view.others);
+            if (!is_uncounted && view.region_fraction > 0) {
+                demand_sum& sum = sums[account.allowed_regions];
+                sum.own += own;
+                sum.all += (own + view.others) / view.region_fraction;
+            }
         } else {
             // Without demand data from other hosts the limit is divided equally.
             demand_share = 1 / hosts;
@@ -182,6 +192,11 @@
             state.pool.tokens = 0;
         state.pool.share = owns_pool ? available_share * pooled_share : 0;
     }
+    m_demand_shares.clear();
+    for (const auto& [regions, sum] : sums) {
+        if (sum.all > 0)
+            m_demand_shares[regions] = sum.own / sum.all;
+    }
 }
 
 std::map<account_id, double> account_limiter::shares() const {
--- a/src/libraries/steering/account_limiter.h
+++ b/src/libraries/steering/account_limiter.h
@@ -80,6 +80,10 @@
     /// Returns the shares of the accounts' limits that this host may spend, including the pools that it owns.
     std::map<account_id, double> shares() const;
 
+    /// Returns this host's part of the fleet's demand, for each set of regions that accounts are bound to, as of the
+    /// last update of the shares.
+    const std::map<std::vector<region_id>, double>& demand_shares() const noexcept { return m_demand_shares; }
+
     /// Returns the demands for this host's report. Shares are computed from the last reported demand, not from the
     /// current one: while demand rises everywhere, each host would otherwise weigh its own new demand against the old
     /// demand of the others, and the shares would sum to more than the limit.
@@ -115,6 +119,7 @@
     bool m_uses_reporters = false; ///< Whether reports reach other regions through reporters.
     double m_default_share = 0;    ///< Initial share of a new account; zero until the number of hosts is known.
     std::map<account_id, account_state> m_accounts;
+    std::map<std::vector<region_id>, double> m_demand_shares;
     std::vector<host_id> m_eligible_pool_owners; ///< Hosts eligible to own pools at the last update.
     std::map<account_id, host_id>
         m_pool_owners; ///< Cached pool owner per account, since ranking all hosts for each account is slow.
--- a/src/libraries/steering/placement_policy.cpp
+++ b/src/libraries/steering/placement_policy.cpp
@@ -177,6 +177,8 @@
     duration cost = option.distance + option.expected_wait + scale(typical.unknown_object, penalty);
     if (upstream.region() != m_options.own_region)
         cost += m_options.region_transfer_cost + transfer_cost(typical);
+    if (const auto scarce = request.scarce_regions.find(upstream.region()); scarce != request.scarce_regions.end())
+        cost += scale(typical.unknown_object, m_options.scarce_region_weight * scarce->second);
     if (m_is_connected && !m_is_connected(upstream.description().id, *request.route))
         cost += option.distance + m_options.new_connection_cost;
     // An upstream that has joined receives the objects that rank it first; otherwise it would receive none, since all
@@ -254,6 +256,10 @@
     if (best_cost && is_by_object(request) && request.tried.empty())
         m_copies.record_request(*request.object, now);
     best.candidates = list.ranked.size();
+    for (const candidate& each : list.ranked) {
+        best.slots += slots_of(*each.upstream);
+        best.requests += std::min(each.upstream->load(), 2 * slots_of(*each.upstream));
+    }
     best.quiet_until = list.quiet_until;
     if (!best_cost && list.any_rate_limited)
         best.kind = placement_kind::wait;
--- a/src/libraries/steering/placement_policy.h
+++ b/src/libraries/steering/placement_policy.h
@@ -5,9 +5,11 @@
 #include "steering/fleet_state.h"
 #include "steering/object_copies.h"
 #include "steering/processing_time_estimator.h"
+#include "steering/regional_room.h"
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string_view>
@@ -57,6 +59,9 @@
     double copy_load_weight = 0.5;
     /// Interval at which the hosts of the own region are counted.
     duration region_count_interval = std::chrono::seconds(1);
+    /// Cost of an upstream whose region is short of room for requests that may not go elsewhere: the fraction of those
+    /// that are refused, times this weight times the processing time.
+    double scarce_region_weight = 2;
     double cold_processing_factor =
         2; ///< Factor on the processing time of a cold upstream, which takes about twice as long.
 };
@@ -69,6 +74,9 @@
     const std::vector<region_id>* account_regions = nullptr; ///< Null: all regions.
     std::vector<upstream_id> tried;
     time_point answer_by;
+    /// Regions that are short of room for requests that are bound to them, with the fraction of those that are refused.
+    /// A request that may also use other regions leaves the room to them.
+    std::map<region_id, double> scarce_regions{};
 };
 
 enum class placement_kind {
@@ -86,7 +94,10 @@
     duration distance{0};
     double load = 0; ///< Requests that the upstream was believed to have when it was chosen.
     bool knows_object = false;
-    std::size_t candidates = 0;            ///< Number of usable upstreams that were compared.
+    std::size_t candidates = 0; ///< Number of usable upstreams that were compared.
+    double slots = 0;           ///< Slots of these upstreams.
+    double requests = 0;        ///< Requests that these upstreams are believed to have; at most two per slot of each.
+    std::shared_ptr<regional_room> room{}; ///< Room that the request takes; null if it is not bound to some regions.
     std::optional<time_point> quiet_until; ///< When the first of the upstreams that asked for quiet may get requests.
 };
 
--- a/src/libraries/steering/request_dispatcher.cpp
+++ b/src/libraries/steering/request_dispatcher.cpp
@@ -41,6 +41,72 @@
     serve_waiting(now);
 }
 
+double request_dispatcher::room_share(const placement_request& request) const {
+    // Lets a host serve its first bound requests before its reports have reached the others.
+    constexpr double equal_fraction = 0.1;
+    const double equal_share = 1 / static_cast<double>(m_membership.size());
+    const auto found =
+        m_demand_shares.find(request.account_regions == nullptr ? std::vector<region_id>() : *request.account_regions);
+    if (found == m_demand_shares.end())
+        return equal_share;
+    return equal_fraction * equal_share + (1 - equal_fraction) * found->second;
+}
+
+std::shared_ptr<regional_room> request_dispatcher::room_of(const placement_request& request, const placement& placed,
+                                                           time_point now) {
+    auto regions = allowed_regions(*request.route, request.account_regions);
+    if (!regions)
+        return nullptr;
+    std::shared_ptr<regional_room>& room = m_rooms[{request.service, std::move(*regions)}];
+    if (room == nullptr)
+        room = std::make_shared<regional_room>();
+    room->update(
+        {.own_slots = placed.slots * room_share(request), .load = placed.requests / std::max(1.0, placed.slots)}, now);
+    return room;
+}
+
+std::map<region_id, double> request_dispatcher::scarce_regions(const placement_request& request, time_point now) const {
+    std::map<region_id, double> scarce;
+    if (m_rooms.empty())
+        return scarce;
+    const auto own = allowed_regions(*request.route, request.account_regions);
+    for (auto entry = m_rooms.lower_bound({request.service, {}});
+         entry != m_rooms.end() && entry->first.first == request.service; ++entry) {
+        const std::vector<region_id>& regions = entry->first.second;
+        const bool has_more = !own || (own->size() > regions.size() &&
+                                       std::includes(own->begin(), own->end(), regions.begin(), regions.end()));
+        const double refused = has_more ? entry->second->refused_fraction(now) : 0;
+        for (const region_id& region : regions) {
+            if (refused > 0)
+                scarce[region] = std::max(scarce[region], refused);
+        }
+    }
+    return scarce;
+}
+
+placement request_dispatcher::place(const placement_request& request, time_point now) {
+    placement placed;
+    if (std::map<region_id, double> scarce = scarce_regions(request, now); scarce.empty()) {
+        placed = m_placements.choose(request, m_fleet, m_membership, m_processing_times, now);
+    } else {
+        placement_request wanted = request;
+        wanted.scarce_regions = std::move(scarce);
+        placed = m_placements.choose(wanted, m_fleet, m_membership, m_processing_times, now);
+    }
+    placed.room = room_of(request, placed, now);
+    return placed;
+}
+
+bool request_dispatcher::has_room(const dispatch_request& request, const placement& placed, time_point now) const {
+    if (placed.room == nullptr)
+        return true;
+    if (request.placement.tried.empty())
+        placed.room->record_demand(request.account, now);
+    // In a shortage a request that would only reach its time limit takes the room of others.
+    return !placed.room->is_short() ||
+           (placed.room->may_send(request.account, now) && now + expected_time(placed) <= request.placement.answer_by);
+}
+
 double request_dispatcher::own_slots(const service_id& service) const {
     double slots = 0;
     for (const auto& upstream : m_fleet.upstreams_of(service))
@@ -85,11 +151,17 @@
 
 dispatch_decision request_dispatcher::decide(const dispatch_request& request, time_point now) {
     dispatch_decision decision;
-    decision.placed = m_placements.choose(request.placement, m_fleet, m_membership, m_processing_times, now);
+    decision.placed = place(request.placement, now);
     const processing_time typical =
         m_processing_times.estimate(request.placement.route->name, request.placement.route->target_latency);
     switch (decision.placed.kind) {
     case placement_kind::send:
+        if (!has_room(request, decision.placed, now)) {
+            decision.placed.room->record_decision(true, now);
+            return refuse("the allowed regions are short of room", decision.placed.room->expected_wait(now));
+        }
+        if (decision.placed.room != nullptr)
+            decision.placed.room->record_decision(false, now);
         if (!can_be_answered_here(request, expected_time(decision.placed), now))
             return refuse_for_stop();
         decision.type = dispatch_decision::kind::send;
@@ -142,8 +214,7 @@
                 continue;
             waiting_entry& entry = found->second;
             dispatch_decision decision;
-            decision.placed =
-                m_placements.choose(entry.request.placement, m_fleet, m_membership, m_processing_times, now);
+            decision.placed = place(entry.request.placement, now);
             const processing_time typical = m_processing_times.estimate(entry.request.placement.route->name,
                                                                         entry.request.placement.route->target_latency);
             const duration expected =
--- a/src/libraries/steering/request_dispatcher.h
+++ b/src/libraries/steering/request_dispatcher.h
@@ -7,6 +7,7 @@
 #include "steering/fleet_state.h"
 #include "steering/placement_policy.h"
 #include "steering/processing_time_estimator.h"
+#include "steering/regional_room.h"
 #include "steering/stop_plan.h"
 #include "steering/waiting_queue.h"
 
@@ -14,6 +15,8 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <utility>
+#include <vector>
 
 namespace ragworthinge {
 
@@ -74,15 +77,41 @@
 
     std::size_t waiting() const noexcept { return m_waiting.size(); }
 
+    /// Sets this host's part of the fleet's demand, for each set of regions that accounts are bound to. Sets that are
+    /// not named get an equal part.
+    void set_demand_shares(std::map<std::vector<region_id>, double> shares) { m_demand_shares = std::move(shares); }
+
     placement_policy& placements() noexcept { return m_placements; }
     processing_time_estimator& processing_times() noexcept { return m_processing_times; }
 
+    /// A service and the regions that requests for it are bound to.
+    using room_key = std::pair<service_id, std::vector<region_id>>;
+
+    /// Rooms of the regions that requests were bound to, for metrics.
+    const std::map<room_key, std::shared_ptr<regional_room>>& rooms() const noexcept { return m_rooms; }
+
 private:
     struct waiting_entry {
         dispatch_request request;
         outcome_handler on_outcome;
     };
 
+    /// Chooses an upstream and determines the room that the request takes.
+    placement place(const placement_request& request, time_point now);
+
+    /// Returns the room of the regions that a request is bound to, updated from the candidates; null if it is not
+    /// bound.
+    std::shared_ptr<regional_room> room_of(const placement_request& request, const placement& placed, time_point now);
+
+    /// This host's part of the slots in the regions that a request is bound to.
+    double room_share(const placement_request& request) const;
+
+    /// Returns the regions that are short of room for requests that have fewer regions to choose from than this one.
+    std::map<region_id, double> scarce_regions(const placement_request& request, time_point now) const;
+
+    /// Whether the regions that the request is bound to have room for it.
+    bool has_room(const dispatch_request& request, const placement& placed, time_point now) const;
+
     double own_slots(const service_id& service) const;
     duration expected_queue_wait(const dispatch_request& request) const;
     dispatch_decision refuse(const char* reason, duration retry_after) const;
@@ -108,6 +137,8 @@
     std::map<service_id, time_point>
         m_last_retry_times; ///< Time at which the retry of the last refused caller is expected.
     std::map<waiting_ticket, waiting_entry> m_waiting;
+    std::map<room_key, std::shared_ptr<regional_room>> m_rooms;
+    std::map<std::vector<region_id>, double> m_demand_shares;
     std::optional<stop_plan> m_stop; ///< Present from the order to stop on.
 };
 
--- a/tests/steering/load_simulation.cpp
+++ b/tests/steering/load_simulation.cpp
@@ -44,12 +44,14 @@
 struct load_simulation::simulated_request {
     host* entry = nullptr;
     const steering_route* route = nullptr;
-    std::uint64_t object = 0;      ///< As the product identifies it.
-    std::uint64_t cache_entry = 0; ///< As upstreams identify it: different for each route.
+    const simulated_account* account = nullptr; ///< Null if there are no accounts.
+    std::uint64_t object = 0;                   ///< As the product identifies it.
+    std::uint64_t cache_entry = 0;              ///< As upstreams identify it: different for each route.
     time_point arrived_at;
     time_point answer_by;
     time_point caller_deadline;
     std::shared_ptr<observed_upstream> chosen;
+    std::shared_ptr<regional_room> room;
     observed_upstream::attempt_handle attempt;
     fake_upstream* upstream = nullptr;
     bool expected_known = false;
@@ -65,6 +67,10 @@
         route.target_latency = m_options.target;
         m_routes.push_back(std::move(route));
     }
+    std::vector<double> weights;
+    for (const simulated_account& account : m_options.accounts)
+        weights.push_back(account.weight);
+    m_account_choice = std::discrete_distribution<std::size_t>(weights.begin(), weights.end());
     for (std::size_t index = 0; index < m_options.hosts; ++index)
         m_hosts.push_back(make_host_state(index));
     for (std::size_t index = 0; index < m_options.upstreams; ++index)
@@ -73,6 +79,16 @@
 
 load_simulation::~load_simulation() = default;
 
+double simulation_results::served_share(const account_id& account) const {
+    const auto requested = requested_by_account.find(account);
+    const auto served = served_by_account.find(account);
+    if (requested == requested_by_account.end())
+        return 1;
+    return served == served_by_account.end()
+               ? 0
+               : static_cast<double>(served->second) / static_cast<double>(requested->second);
+}
+
 double simulation_results::in_target_between(std::int64_t first, std::int64_t end) const {
     const auto sum = [&](const std::map<std::int64_t, std::size_t>& counts) {
         std::size_t total = 0;
@@ -216,6 +232,11 @@
     ++m_results.requested_by_route[request->route->name];
     ++m_results.requested_by_second[std::chrono::duration_cast<std::chrono::seconds>(m_now - test_start).count()];
     request->caller_deadline = m_now + m_options.deadline;
+    if (!m_options.accounts.empty()) {
+        request->account = &m_options.accounts[m_account_choice(m_random)];
+        if (m_now - test_start >= m_options.count_accounts_from)
+            ++m_results.requested_by_account[request->account->name];
+    }
     place(entry, request);
 }
 
@@ -235,20 +256,25 @@
 void load_simulation::place(host& entry, const std::shared_ptr<simulated_request>& request) {
     request->answer_by = std::min(m_now + m_options.timeout, request->caller_deadline);
     if (m_options.strategy != placement_strategy::steering) {
-        dispatch(request, choose_naive(entry), m_options.unknown_processing);
+        placement placed;
+        placed.upstream = choose_naive(entry);
+        placed.expected_processing = m_options.unknown_processing;
+        dispatch(request, placed);
         return;
     }
     dispatch_request wanted;
     wanted.placement = {.route = request->route,
                         .service = "lots",
                         .object = request->object,
-                        .account_regions = nullptr,
+                        .account_regions = request->account == nullptr ? nullptr : &request->account->allowed_regions,
                         .tried = {},
                         .answer_by = request->answer_by};
+    if (request->account != nullptr)
+        wanted.account = request->account->name;
     wanted.target_at = request->arrived_at + m_options.target;
     const dispatch_decision decision = entry.dispatcher.decide(wanted, m_now);
     if (decision.type == dispatch_decision::kind::send) {
-        dispatch(request, decision.placed.upstream, decision.placed.expected_processing);
+        dispatch(request, decision.placed);
     } else if (decision.type == dispatch_decision::kind::refuse) {
         refuse(request, decision.retry_after);
     } else {
@@ -258,7 +284,7 @@
                 if (request->entry->is_ended)
                     return;
                 if (outcome.type == dispatch_decision::kind::send) {
-                    dispatch(request, outcome.placed.upstream, outcome.placed.expected_processing);
+                    dispatch(request, outcome.placed);
                     return;
                 }
                 if (m_now - enqueued_at > m_options.target / 8)
@@ -268,11 +294,14 @@
     }
 }
 
-void load_simulation::dispatch(const std::shared_ptr<simulated_request>& request,
-                               const std::shared_ptr<observed_upstream>& chosen, duration expected) {
+void load_simulation::dispatch(const std::shared_ptr<simulated_request>& request, const placement& placed) {
+    const std::shared_ptr<observed_upstream>& chosen = placed.upstream;
     request->chosen = chosen;
+    request->room = placed.room;
+    if (request->room != nullptr)
+        request->room->record_start(m_now);
     request->expected_known = chosen->knows_object(request->object);
-    request->attempt = chosen->start_attempt(expected, m_now);
+    request->attempt = chosen->start_attempt(placed.expected_processing, m_now);
     fake_upstream& upstream = *m_by_id.at(chosen->description().id);
     request->upstream = &upstream;
     ++m_results.arrivals[upstream.id];
@@ -322,6 +351,8 @@
         const duration latency = m_now - request->arrived_at;
         const bool is_in_target = latency <= m_options.target;
         ++(is_in_target ? m_results.in_target : m_results.late);
+        if (request->account != nullptr && request->arrived_at - test_start >= m_options.count_accounts_from)
+            ++m_results.served_by_account[request->account->name];
         if (is_in_target)
             ++m_results.in_target_by_route[request->route->name];
         if (is_in_target)
@@ -359,6 +390,8 @@
         const double load = static_cast<double>(request->upstream->running.size() + request->upstream->queue.size());
         chosen.set_others_in_flight(std::max(0.0, load - static_cast<double>(chosen.own_in_flight())));
     }
+    if (request->room != nullptr)
+        request->room->record_end(end == attempt_end::answered ? std::optional(taken) : std::nullopt, m_now);
     if (!request->entry->is_ended)
         request->entry->dispatcher.serve_waiting(m_now);
 }
--- a/tests/steering/load_simulation.h
+++ b/tests/steering/load_simulation.h
@@ -22,6 +22,13 @@
     two_choices,  ///< The less loaded of two random upstreams; never refuses.
 };
 
+/// A client account of the simulated callers.
+struct simulated_account {
+    account_id name;
+    double weight = 1;                      ///< Its requests, compared to those of the other accounts.
+    std::vector<region_id> allowed_regions; ///< Empty: all.
+};
+
 /// One service under load. The defaults are those of a service in the users' workload sheets.
 struct simulation_options {
     placement_strategy strategy = placement_strategy::steering;
@@ -54,6 +61,9 @@
     bool upstreams_report_speed = false;
     /// Refused callers retry once, at any host, after the Retry-After but at most a third of the time they have left.
     bool callers_retry = false;
+    /// Accounts of the callers; without any, requests belong to none.
+    std::vector<simulated_account> accounts;
+    duration count_accounts_from{0}; ///< Only requests that arrive later count for their account.
     unsigned seed = 1;
 };
 
@@ -76,12 +86,17 @@
 
     std::map<std::string, std::size_t> requested_by_route;
     std::map<std::string, std::size_t> in_target_by_route;
+    std::map<account_id, std::size_t> requested_by_account;
+    std::map<account_id, std::size_t> served_by_account;     ///< Answered, in target or late.
     std::map<std::int64_t, std::size_t> requested_by_second; ///< By second of the first arrival.
     std::map<std::int64_t, std::size_t> in_target_by_second; ///< By second of the first arrival.
 
     /// Fraction of the requests that arrived from second `first` to before second `end` and met their target.
     double in_target_between(std::int64_t first, std::int64_t end) const;
 
+    /// Fraction of the account's requests that were answered; 1 if there were none.
+    double served_share(const account_id& account) const;
+
     double fraction(std::size_t count) const {
         return requested == 0 ? 0 : static_cast<double>(count) / static_cast<double>(requested);
     }
@@ -127,8 +142,7 @@
     void arrive(host& entry);
     void place(host& entry, const std::shared_ptr<simulated_request>& request);
     void refuse(const std::shared_ptr<simulated_request>& request, duration retry_after);
-    void dispatch(const std::shared_ptr<simulated_request>& request, const std::shared_ptr<observed_upstream>& chosen,
-                  duration expected);
+    void dispatch(const std::shared_ptr<simulated_request>& request, const placement& placed);
     void begin_service(fake_upstream& upstream, const std::shared_ptr<simulated_request>& request);
     void end_service(fake_upstream& upstream, const std::shared_ptr<simulated_request>& request);
     void finish(const std::shared_ptr<simulated_request>& request, attempt_end end, bool is_shed);
@@ -161,6 +175,7 @@
     std::vector<std::unique_ptr<host>> m_hosts;
     std::vector<std::unique_ptr<host>> m_ended_hosts; ///< Kept alive for the jobs that still refer to them.
     std::vector<steering_route> m_routes;
+    std::discrete_distribution<std::size_t> m_account_choice;
 };
 
 } // namespace ragworthinge
--- a/tests/steering/load_simulation_test.cpp
+++ b/tests/steering/load_simulation_test.cpp
@@ -240,3 +240,46 @@
     std::cout << "near capacity: in target " << during << "\n";
     CHECK(during >= 0.9);
 }
+
+// Guards against accounts whose region is short of upstreams being served by the number of their requests: a large one
+// took the room of the small ones, and half of what was sent only reached its time limit.
+TEST_CASE("a large account does not starve small ones that are bound to the same short region", "[bound]") {
+    constexpr double capacity = 24 * 3 / 0.88;          // requests per second for objects that no upstream knows
+    constexpr double small = 2.0 / 32 * 1.8 * capacity; // of the two small accounts
+    simulation_options options;
+    options.hosts = 59;
+    options.upstreams = 24;
+    options.slots = 3;
+    options.object_cache_size = 12;
+    options.objects = 2000;
+    options.report_delay = 800ms;
+    options.timeout = 2000ms;
+    options.length = 24s;
+    options.accounts = {{.name = "large", .weight = 30, .allowed_regions = {"gulf"}},
+                        {.name = "small-1", .weight = 1, .allowed_regions = {"gulf"}},
+                        {.name = "small-2", .weight = 1, .allowed_regions = {"gulf"}}};
+    // The last requests end before the simulation does.
+    options.rate = [](duration time) {
+        return time < 22s ? 1.8 * capacity : 0;
+    };
+    // Hosts learn of the shortage from their first responses and reports.
+    options.count_accounts_from = 5s;
+    const auto simulate_with = [&](unsigned seed) {
+        options.seed = seed;
+        const simulation_results results = simulate(options, placement_strategy::steering);
+        print("a short region", "steering", results);
+        return results;
+    };
+    for (const unsigned seed : {1U, 2U, 3U}) {
+        const simulation_results results = simulate_with(seed);
+        const double large = results.served_share("large");
+        std::cout << "a short region: served large " << large << " small " << results.served_share("small-1") << " "
+                  << results.served_share("small-2") << "\n";
+        // Small accounts ask for less than an equal part of the room, so they are owed all that they ask for.
+        CHECK(results.served_share("small-1") >= 0.9);
+        CHECK(results.served_share("small-2") >= 0.9);
+        // The large one gets what they leave, but for the slots that stand idle because views of the load are old.
+        CHECK(large >= 0.7 * (capacity - small) / (1.8 * capacity - small));
+        CHECK(results.fraction(results.timed_out) <= 0.1);
+    }
+}
--- a/tests/steering/request_dispatcher_test.cpp
+++ b/tests/steering/request_dispatcher_test.cpp
@@ -198,3 +198,33 @@
         CHECK(host.outcomes[1].retry_after >= (leaves ? duration(100ms) : duration(4950ms)));
     }
 }
+
+// Guards against requests that may use all regions taking the room of those that may use only one.
+TEST_CASE("requests leave a region that is short of room to those that are bound to it") {
+    dispatcher_fixture host;
+    host.fleet.apply(upstream_announced{make_upstream("far", "delta-a")}, test_start);
+    host.route.prefers_known_object = false;
+    const std::vector<region_id> home{"gulf"};
+    dispatch_request bound = host.make_dispatch_request(test_start + 8s);
+    bound.placement.account_regions = &home;
+    bound.account = "bound";
+    const auto region_of_unbound = [&](time_point now) {
+        const dispatch_decision decision = host.dispatcher.decide(host.make_dispatch_request(now + 8s), now);
+        return decision.type == dispatch_decision::kind::send ? decision.placed.upstream->region() : region_id();
+    };
+    CHECK(region_of_unbound(test_start) == "gulf");
+
+    // The upstream of the region has twice as many requests as slots, and this host as many of them as it may have.
+    host.fleet.find_upstream("one")->set_others_in_flight(8);
+    std::size_t refused = 0;
+    for (int count = 0; count < 100; ++count) {
+        const dispatch_decision decision = host.dispatcher.decide(bound, test_start + count * 50ms);
+        if (decision.type == dispatch_decision::kind::send)
+            decision.placed.room->record_start(test_start + count * 50ms);
+        refused += decision.type == dispatch_decision::kind::refuse ? 1 : 0;
+    }
+    CHECK(refused > 50);
+    host.fleet.find_upstream("one")->set_others_in_flight(0);
+    CHECK(region_of_unbound(test_start + 5s) == "delta");
+    CHECK(region_of_unbound(test_start + 1min) == "gulf");
+}
