Treat an upstream's invalid status as a failed attempt

In a test, status 600 and 999 of an upstream reached the caller of a request that must not be repeated, and after 000, 001 or 099 the caller waited for the route's time-out: everything below 200 was skipped as an interim response, and everything else was final.

A status outside 100 to 599 is a protocol violation where the head is read. The request is sent again where it may be, else its caller gets 502. The new test failed for 000, 001, 099 (both kinds), 600 and 999 (not idempotent) before.

--- a/src/libraries/net/http_connection.cpp
+++ b/src/libraries/net/http_connection.cpp
@@ -31,7 +31,9 @@
 using boost::asio::ip::tcp;
 
 constexpr unsigned http_version_1_1 = 11;
+constexpr unsigned first_interim_status = 100;
 constexpr unsigned first_final_status = 200;
+constexpr unsigned first_invalid_status = 600;
 constexpr std::uint32_t response_header_limit = 64 * 1024;
 /// Limit of received but unparsed bytes. It also bounds chunk extensions and trailers, for which the parser has no
 /// limit.
@@ -40,6 +42,11 @@
 /// keeps sending them would never finish the read.
 constexpr int max_interim_responses = 8;
 
+/// Whether the status belongs to a class of RFC 9110, section 15.
+bool is_valid_status(unsigned status) noexcept {
+    return status >= first_interim_status && status < first_invalid_status;
+}
+
 error to_error(const char* operation, const boost::system::error_code& cause) {
     const bool timed_out = cause == boost::beast::error::timeout;
     return {timed_out ? error_code::timeout : error_code::unavailable, std::string(operation) + ": " + cause.message()};
@@ -111,6 +118,9 @@
                 return to_error("reading the answer's head", outcome.failure);
             if (m_parser->get().result_int() == 101)
                 return failure(error_code::protocol_violation, "the server switched protocols");
+            if (!is_valid_status(m_parser->get().result_int()))
+                return failure(error_code::protocol_violation,
+                               "status " + std::to_string(m_parser->get().result_int()) + " is not valid");
         } while (m_parser->get().result_int() < first_final_status);
 
         const auto& message = m_parser->get();
--- a/src/libraries/net/http_connection.h
+++ b/src/libraries/net/http_connection.h
@@ -54,7 +54,8 @@
     virtual result<void> write_body(std::string_view bytes) = 0;
     virtual result<void> finish_request() = 0;
 
-    /// Reads status and headers of the final response; interim responses (1xx) are skipped.
+    /// Reads status and headers of the final response; interim responses (1xx) are skipped. Error protocol_violation:
+    /// the status is not from 100 to 599, the server switched protocols or sends interim responses without end.
     virtual result<http_response_head> read_head() = 0;
 
     /// Reads body bytes; zero means that the response is complete. A truncated response is an error.
--- a/tests/gateway/request_gateway_test.cpp
+++ b/tests/gateway/request_gateway_test.cpp
@@ -167,6 +167,44 @@
     }
 }
 
+// Guards against a status that is no valid final one being passed on to the caller as an answer, or being skipped as an
+// interim response while the caller waits for another one.
+TEST_CASE("a response with an invalid status is a failed attempt") {
+    for (const std::string status : {"000", "001", "099", "600", "999", "20", "2000", "0200", "-20", "2x0", ""}) {
+        for (const bool is_idempotent : {true, false}) {
+            INFO("status " << status << " idempotent " << is_idempotent);
+            gateway_fixture host;
+            host.configuration.routes.front().is_idempotent = is_idempotent;
+            int sent = 0;
+            const auto respond_invalid_first = [&](const auto& request) {
+                const std::string valid = make_response(request, 200, "x");
+                if (sent++ > 0)
+                    return scripted_upstream::reply{valid};
+                return scripted_upstream::reply{"HTTP/1.1 " + status + valid.substr(valid.find(" Text"))};
+            };
+            host.add_upstream("one", respond_invalid_first);
+            host.add_upstream("two", respond_invalid_first);
+            host.run([&] {
+                const time_point started = monotonic_clock::now();
+                const received_response response = host.send(host.make_request(is_idempotent ? "GET" : "POST"));
+                CHECK(response.status == (is_idempotent ? 200 : 502));
+                CHECK(total_requests(host) == (is_idempotent ? 2 : 1));
+                // The route's timeout is 0.8 s.
+                CHECK(monotonic_clock::now() - started < 600ms);
+            });
+        }
+    }
+}
+
+TEST_CASE("interim responses before the response are skipped") {
+    gateway_fixture host;
+    host.add_upstream("one", [](const auto& request) {
+        return scripted_upstream::reply{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 199 Odd\r\n\r\n" +
+                                        make_response(request, 200, "x")};
+    });
+    host.run([&] { CHECK(host.send(host.make_request()).status == 200); });
+}
+
 TEST_CASE("a response that is delimited by the end of its connection is complete") {
     gateway_fixture host;
     host.add_upstream("one", [](const auto&) {
