Wait in the test of a slow reader until the response is held

The test expected 8 MB to pass loopback within 100 ms. It now waits for that, at most the route's time-out of 0.8 s, and then checks as much as before.

--- a/tests/gateway/body_reader_test.cpp
+++ b/tests/gateway/body_reader_test.cpp
@@ -120,7 +120,10 @@
         uploading_caller slow(host.runtime, host.server->port());
         slow.send(
             "GET /lots/7 HTTP/1.1\r\nHost: lots.example\r\nX-Id: id-2\r\nX-Key: secret-key\r\nX-Left-Ms: 4000\r\n\r\n");
-        host.runtime.sleep_for(100ms);
+        // The response is held completely before the other caller comes, at the latest at the route's timeout.
+        const time_point begin = monotonic_clock::now();
+        while (host.client.held_response_bytes() < long_response && monotonic_clock::now() - begin < 800ms)
+            host.runtime.sleep_for(10ms);
         CHECK(host.client.held_response_bytes() == long_response);
         const time_point started = monotonic_clock::now();
         CHECK(host.send(host.make_request()).status == 200);
