Do not send a request whose caller has left by the time it is read

Cause: a host that is behind reads a request and finds the end of its connection behind it. The read that reports the end completes in a later turn, after the request has been sent on an open connection to its upstream.

The exchange now asks the socket when the handler begins to watch the caller, right before the first upstream is chosen. The new test failed before for both kinds of requests (2 requests at the upstream instead of 1).

--- a/src/libraries/net/http_exchange.h
+++ b/src/libraries/net/http_exchange.h
@@ -47,8 +47,8 @@
     /// False once either side has closed the connection.
     virtual bool is_open() const = 0;
 
-    /// Registers a function that is called once if the caller disconnects before the response starts. Register it after
-    /// the body was read. The function runs outside any fiber and must not block.
+    /// Registers a function that is called once if the caller disconnects before the response starts; at once if it has
+    /// done so already. Register it after the body was read. The function runs outside any fiber and must not block.
     virtual void watch_disconnect(std::function<void()> on_disconnect) = 0;
 };
 
--- a/src/libraries/net/http_server_connection.h
+++ b/src/libraries/net/http_server_connection.h
@@ -67,6 +67,9 @@
     /// Reads from the connection while a request is in progress, up to a limit, so that a disconnect is detected.
     void read_ahead();
 
+    /// Whether the caller has ended the connection, also if that has not been read yet.
+    bool has_caller_left() noexcept { return !m_open || m_input_ended || m_stream.has_peer_ended(); }
+
     /// True if all earlier requests of the connection are answered.
     bool is_first_in_queue(const http_server_exchange& exchange) const noexcept;
 
--- a/src/libraries/net/http_server_exchange.cpp
+++ b/src/libraries/net/http_server_exchange.cpp
@@ -124,6 +124,10 @@
 void http_server_exchange::watch_disconnect(std::function<void()> on_disconnect) {
     m_on_disconnect = std::move(on_disconnect);
     m_connection.read_ahead();
+    // A host that reads a request late finds the end of its connection behind it. The read reports that end only after
+    // the handler has had the time to start work for the request.
+    if (m_connection.has_caller_left())
+        notify_disconnect();
 }
 
 void http_server_exchange::notify_disconnect() {
--- a/src/libraries/net/http_stream.h
+++ b/src/libraries/net/http_stream.h
@@ -11,6 +11,7 @@
 #include <boost/beast/core/basic_stream.hpp>
 
 #include <linux/sockios.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 
 #include <cstddef>
@@ -72,6 +73,13 @@
         return static_cast<std::size_t>(bytes);
     }
 
+    /// Whether the peer has ended its sending direction or reset the connection, also behind bytes that were not read
+    /// yet.
+    bool has_peer_ended() noexcept {
+        pollfd state{.fd = lowest_layer().socket().native_handle(), .events = POLLRDHUP, .revents = 0};
+        return !is_open() || (::poll(&state, 1, 0) == 1 && (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0);
+    }
+
     bool is_open() noexcept { return lowest_layer().socket().is_open(); }
 
 private:
--- a/tests/gateway/request_gateway_test.cpp
+++ b/tests/gateway/request_gateway_test.cpp
@@ -332,6 +332,36 @@
     });
 }
 
+// Guards against requests that a host reads late, together with the end of their connection, and sends on although
+// nobody waits for the response.
+TEST_CASE("a request that is read together with the end of its connection is not sent") {
+    for (const bool is_idempotent : {true, false}) {
+        for (const bool caller_leaves : {true, false}) {
+            INFO("idempotent " << is_idempotent << " caller leaves " << caller_leaves);
+            gateway_fixture host;
+            host.configuration.routes.front().is_idempotent = is_idempotent;
+            host.add_upstream("one", respond_always(200, "x"));
+            host.run([&] {
+                // The second request goes to an open connection to the upstream, so nothing delays it.
+                REQUIRE(host.send(host.make_request()).status == 200);
+                standins::standin_server::socket caller(host.runtime.io());
+                const boost::asio::ip::tcp::endpoint endpoint(boost::asio::ip::make_address("127.0.0.1"),
+                                                              host.server->port());
+                await_io([&](auto handler) { caller.async_connect(endpoint, std::move(handler)); });
+                const std::string text =
+                    "GET /lots/7 HTTP/1.1\r\nHost: lots.example\r\nX-Key: secret-key\r\nX-Left-Ms: "
+                    "4000\r\nX-Id: id-2\r\n\r\n";
+                // Nothing of the gateway runs until both have arrived.
+                REQUIRE(caller.write_some(boost::asio::buffer(text)) == text.size());
+                if (caller_leaves)
+                    caller.close();
+                host.runtime.sleep_for(100ms);
+                CHECK(total_requests(host) == (caller_leaves ? 1 : 2));
+            });
+        }
+    }
+}
+
 TEST_CASE("a refused connection does not count as an attempt") {
     gateway_fixture host;
     host.configuration.routes.front().is_idempotent = false;
