Let a room that was short be sufficient after a pause

After a pause without requests the factor went on falling by the load from before it, so requests to idle upstreams were refused: the load is now updated before the factor. The new test failed before.

Counting demand is no longer hidden in the question whether there is room.

--- a/src/libraries/steering/regional_room.cpp
+++ b/src/libraries/steering/regional_room.cpp
@@ -26,10 +26,12 @@
 
 void regional_room::update(const room_state& state, time_point now) {
     const double elapsed = m_advanced_at ? std::max(0.0, seconds(now - *m_advanced_at)) : 0;
-    advance(now);
-    m_own_slots = state.own_slots;
+    const bool was_short = is_short();
+    // The load comes first, so that after a pause the factor does not follow the load from before it.
     m_load += (1 - std::exp(-elapsed / seconds(m_options.load_time_constant))) * (state.load - m_load);
-    if (!is_short() && m_load > m_options.target_load) {
+    m_own_slots = state.own_slots;
+    advance(now);
+    if (!was_short && m_load > m_options.target_load) {
         m_factor = 1;
         m_credit = 0;
     }
@@ -49,8 +51,9 @@
     advance(now);
     if (!is_part_used_up())
         return duration::zero();
+    constexpr double min_slots = 0.02;
+    const double slots = std::max(limit(), min_slots);
     // On average half of the time of an attempt is left.
-    const double slots = std::max(limit(), m_options.min_factor / 10);
     return std::chrono::duration_cast<duration>(std::chrono::duration<double>(m_typical_seconds / 2 / slots));
 }
 
--- a/src/libraries/steering/request_dispatcher.cpp
+++ b/src/libraries/steering/request_dispatcher.cpp
@@ -97,14 +97,11 @@
     return placed;
 }
 
-bool request_dispatcher::has_room(const dispatch_request& request, const placement& placed, time_point now) const {
-    if (placed.room == nullptr)
+bool request_dispatcher::has_room(const dispatch_request& request, const placement& placed, time_point now) {
+    if (placed.room == nullptr || !placed.room->is_short())
         return true;
-    if (request.placement.tried.empty())
-        placed.room->record_demand(request.account, now);
     // In a shortage a request that would only reach its time limit takes the room of others.
-    return !placed.room->is_short() ||
-           (placed.room->may_send(request.account, now) && now + expected_time(placed) <= request.placement.answer_by);
+    return placed.room->may_send(request.account, now) && now + expected_time(placed) <= request.placement.answer_by;
 }
 
 double request_dispatcher::own_slots(const service_id& service) const {
@@ -152,16 +149,19 @@
 dispatch_decision request_dispatcher::decide(const dispatch_request& request, time_point now) {
     dispatch_decision decision;
     decision.placed = place(request.placement, now);
+    regional_room* const room = decision.placed.room.get();
+    if (room != nullptr && request.placement.tried.empty())
+        room->record_demand(request.account, now);
     const processing_time typical =
         m_processing_times.estimate(request.placement.route->name, request.placement.route->target_latency);
     switch (decision.placed.kind) {
     case placement_kind::send:
         if (!has_room(request, decision.placed, now)) {
-            decision.placed.room->record_decision(true, now);
-            return refuse("the allowed regions are short of room", decision.placed.room->expected_wait(now));
+            room->record_decision(true, now);
+            return refuse("the allowed regions are short of room", room->expected_wait(now));
         }
-        if (decision.placed.room != nullptr)
-            decision.placed.room->record_decision(false, now);
+        if (room != nullptr)
+            room->record_decision(false, now);
         if (!can_be_answered_here(request, expected_time(decision.placed), now))
             return refuse_for_stop();
         decision.type = dispatch_decision::kind::send;
--- a/src/libraries/steering/request_dispatcher.h
+++ b/src/libraries/steering/request_dispatcher.h
@@ -110,7 +110,7 @@
     std::map<region_id, double> scarce_regions(const placement_request& request, time_point now) const;
 
     /// Whether the regions that the request is bound to have room for it.
-    bool has_room(const dispatch_request& request, const placement& placed, time_point now) const;
+    static bool has_room(const dispatch_request& request, const placement& placed, time_point now);
 
     double own_slots(const service_id& service) const;
     duration expected_queue_wait(const dispatch_request& request) const;
--- a/tests/steering/regional_room_test.cpp
+++ b/tests/steering/regional_room_test.cpp
@@ -32,6 +32,14 @@
     CHECK(!room.is_short());
 }
 
+// Guards against a factor that goes on falling by the load from before a pause in which there were no requests.
+TEST_CASE("a room that was short has room for requests that come after a pause") {
+    regional_room room = make_short_room(1);
+    REQUIRE(room.is_short());
+    room.update({.own_slots = 1, .load = 0}, test_start + 1min);
+    CHECK(!room.is_short());
+}
+
 TEST_CASE("a host whose part is not a whole number of slots keeps to it on average") {
     regional_room room = make_short_room(1.5);
     const time_point begin = test_start + 1s;
