--- a/tests/steering/load_simulation_test.cpp
+++ b/tests/steering/load_simulation_test.cpp
@@ -285,4 +285,3 @@
     // Small accounts ask for less than an equal part of the room, so they are owed all that they ask for.
     CHECK(small_served / seeds >= 0.9);
 }
-}
