Let two reporters of one region find each other again

Cause: hosts that could not reach the first in the ranking followed the next one. Each reporter tells only of those that report to it, so the two groups timed each other out, and a host that has timed out is no candidate for its own region. The groups ranked different owners for the accounts' pools.

A reporter now asks the host that would go before it had it not timed out, and follows it when it replies.

--- a/src/libraries/gateway/fleet_exchange.cpp
+++ b/src/libraries/gateway/fleet_exchange.cpp
@@ -130,6 +130,7 @@
             request_region_update(*peer, report, now);
         return;
     }
+    ask_timed_out_reporter(report, now);
     region_report regional_report = m_membership.make_region_report(report, now);
     regional_report.new_objects = std::move(objects);
     regional_report.new_objects.insert(regional_report.new_objects.end(), report.new_objects.begin(),
@@ -155,6 +156,19 @@
          });
 }
 
+void fleet_exchange::ask_timed_out_reporter(const host_report& report, time_point now) {
+    const auto name = m_membership.timed_out_reporter(unreachable_peers(now), now);
+    const auto peer = name ? find_peer(*name) : std::nullopt;
+    if (!peer)
+        return;
+    const region_update_request update_request{.report = report, .object_incarnation = 0, .next_object = 0};
+    send(*peer, "question", make_message(region_update_request_message, write_region_update_request(update_request)),
+         [this, name = peer->name](std::string_view) {
+             m_membership.record_reply(name, boot_time_now());
+             m_log.write(log_level::info, "reporter_found_again", field("peer", name));
+         });
+}
+
 void fleet_exchange::send_region_report(const region_report& regional_report, time_point now) {
     const auto message = make_message(region_report_message, write_region_report(regional_report));
     for (const region_id& region : m_membership.other_regions()) {
--- a/src/libraries/gateway/fleet_exchange.h
+++ b/src/libraries/gateway/fleet_exchange.h
@@ -91,6 +91,9 @@
 
     /// The region's reporter, chosen among the reachable hosts.
     std::optional<host_id> reporter_of(const region_id& region, time_point now) const;
+    /// Asks a host of this region that would be its reporter but has timed out. If it replies, this host and those that
+    /// follow it report to it from then on.
+    void ask_timed_out_reporter(const host_report& report, time_point now);
     void send_region_report(const region_report& regional_report, time_point now);
 
     using reply_handler = std::function<void(std::string_view)>;
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -199,6 +199,20 @@
     return highest_ranked_host("reporter/" + region, candidates);
 }
 
+std::optional<host_id> fleet_membership::timed_out_reporter(const std::set<host_id>& unreachable,
+                                                            time_point now) const {
+    const region_id& region = m_options.region;
+    const auto best = highest_ranked_host("reporter/" + region, reporter_candidates(region, unreachable, true, now));
+    return best && !is_live(*best, now) ? best : std::nullopt;
+}
+
+void fleet_membership::record_reply(const host_id& name, time_point now) {
+    if (const auto found = m_members.find(name); found != m_members.end()) {
+        found->second.relayed_at = now;
+        found->second.has_timed_out = false;
+    }
+}
+
 region_report fleet_membership::make_region_report(const host_report& own, time_point now) {
     region_report aggregate;
     aggregate.region = m_options.region;
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -97,6 +97,14 @@
     std::optional<host_id> reporter_of(const region_id& region, const std::set<host_id>& unreachable,
                                        time_point now) const;
 
+    /// Returns the host of this region that would be its reporter had it not timed out. It may be alive and be the
+    /// reporter of other hosts of the region, each group having timed the other out; only a question to it can tell.
+    /// Absent if this host or a live one goes before it.
+    std::optional<host_id> timed_out_reporter(const std::set<host_id>& unreachable, time_point now) const;
+
+    /// Records that a host has replied to this one.
+    void record_reply(const host_id& name, time_point now);
+
     /// Aggregates the direct reports of this host's region for other regions; `own` is this host's report. Retains the
     /// demand sums, since other regions may still use one of the previous ones.
     region_report make_region_report(const host_report& own, time_point now);
--- a/tests/steering/fleet_membership_test.cpp
+++ b/tests/steering/fleet_membership_test.cpp
@@ -1,5 +1,6 @@
 #include "steering/fleet_membership.h"
 
+#include "membership/rendezvous_hash.h"
 #include "steering/steering_fixture.h"
 
 #include <catch2/catch.hpp>
@@ -219,6 +220,46 @@
     }
 }
 
+// Guards against two groups of a region's hosts that have timed each other out, each with a reporter of its own, and
+// that never meet again: accounts whose pool belongs to a host of one group got no tokens in the other.
+TEST_CASE("of two reporters of a region that have timed each other out, one asks the other and follows it") {
+    fleet_membership first = make_membership("a");
+    fleet_membership second = make_membership("b");
+    for (fleet_membership* fleet : {&first, &second}) {
+        for (const std::string name : {"a", "b", "c", "d"})
+            fleet->announce(make_host(name), test_start);
+    }
+    const time_point later = test_start + 1min;
+    first.record_report(report_of("c"), later);
+    second.record_report(report_of("d"), later);
+    const auto top = highest_ranked_host("reporter/gulf", std::vector<host_id>{"a", "b", "c", "d"});
+    REQUIRE(top);
+    for (fleet_membership* fleet : {&first, &second}) {
+        const host_id self = fleet->options().self;
+        const auto asked = fleet->timed_out_reporter({}, later);
+        // The host that ranks first asks nobody; it is the other one that finds it.
+        REQUIRE(asked == (*top == self || fleet->is_live(*top, later) ? std::nullopt : top));
+        if (!asked)
+            continue;
+        CHECK(fleet->reporter_of("gulf", {}, later) != asked);
+        // A host that did not reply is left out, and the next one is asked.
+        CHECK(fleet->timed_out_reporter({*asked}, later) != asked);
+        fleet->record_reply(*asked, later);
+        CHECK(fleet->reporter_of("gulf", {}, later) == asked);
+        CHECK_FALSE(fleet->timed_out_reporter({}, later));
+    }
+
+    SECTION("a host without an entry in the store is not asked") {
+        fleet_membership alone = make_membership("a");
+        for (const std::string name : {"a", "b", "c", "d"}) {
+            alone.announce(make_host(name), test_start);
+            if (name != "a")
+                alone.withdraw(name, later);
+        }
+        CHECK_FALSE(alone.timed_out_reporter({}, later));
+    }
+}
+
 // Guards against a region report that omits a host of the region or loses the ages of reports.
 TEST_CASE("a region report sums the reports of its region") {
     fleet_membership fleet = make_membership("a");
