--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,70 +1,90 @@
-"""A backend that is at work reads a long body slowly; the stopping host breaks the request off and answers for it."""
+"""The store comes back from a copy that is some seconds old; the next version of the configuration never takes effect."""
 
 import os
-import signal
 import sys
-import threading
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common-2"))
 import standins  # noqa: E402
-from standins import TROUBLE  # noqa: E402
+from standins import APPLY_S, CONTACT_S, STRETCH_S, TROUBLE  # noqa: E402
 
-BODY = bytes(range(256)) * 1400  # 358,400 bytes; the sheet's uploads have up to 360,000.
-LIMIT_S = 8.0  # The sheet's time limit of uploads.
-PAUSE_S = float(os.environ.get("PAUSE_S", "3.0"))
+COPY_AGE_S = 8.0  # "some seconds old"
+AWAY_S = 1.0  # "for a moment"
+VERSIONS_BEFORE = 12  # In quick succession: the sheets have a change each 0.33 s for 4 s.
+VERSION_GAP_S = 0.33
 
 
-class slow_reader(standins.upstream):
-    """Begins to work when the head is in, reads a part of the body, and the rest after a pause."""
-
-    def serve(self, call):
-        length = int(call.headers.get("Content-Length", 0))
-        if not self.accept(call):
-            call.rfile.read(length)
-            return
-        body = call.rfile.read(min(length, 16384))
-        if TROUBLE and length > 100000:
-            self.log.write("%s has read %d of %d bytes and works on them" % (self.name, len(body), length))
-            time.sleep(PAUSE_S)
-        body += call.rfile.read(length - len(body))
-        self.log.write("%s has read %d of %d bytes" % (self.name, len(body), length))
-        if len(body) < length:
-            return
-        time.sleep(self.work)
-        self.answer(call)
+def version(number, timeout_ms, service="agenda-old", keys=("key-one", "key-two")):
+    return standins.configuration(
+        number, [standins.route("lookup", "/folios/", "safe", "folios", timeout_ms),
+                 standins.route("book", "/agenda/", "unsafe", service, timeout_ms, attempts=1)],
+        ["folios", "agenda-old", "agenda-new"], list(keys))
 
 
 def case(log, folder, hosts):
     store = standins.store()
-    store.put("op/config", standins.configuration(
-        10, [standins.route("document-upload", "/documents/", "upload", "docvault", 0, 1000, 1)], ["docvault"], ["key-one"]))
-    upstreams = [slow_reader("i-docvault-" + zone, "docvault", zone, log, store) for zone in standins.ZONES]
+    store.put("op/config", version(10, 2000))
+    upstreams = {}
+    for service in ("folios", "agenda-old", "agenda-new"):
+        upstreams[service] = [standins.upstream("i-%s-%s" % (service, zone), service, zone, log, store)
+                              for zone in ("mty-a", "qro-a")]
     for number, zone in enumerate(standins.ZONES):
         hosts.append(standins.entry_host(folder, "front-%s-1" % zone, zone, store.port, log))
         hosts[number].start()
     standins.wait_until("all hosts ready", 10, lambda: all(host.is_ready() for host in hosts))
-    time.sleep(4)
-
-    host, results = hosts[0], {}
+    time.sleep(3)
+    for host in hosts:
+        if host.ask("first-" + host.name, "/folios/1") != 200 or host.ask("first-two-" + host.name, "/agenda/1",
+                                                                        key="key-two", method="POST") != 200:
+            raise standins.cannot_run("the hosts do not serve")
 
-    def upload(name):
-        results[name] = host.ask(name, "/documents/" + name, method="POST", body=BODY, limit_s=LIMIT_S, object_name=name)
+    copy = store.copy()
+    log.write("copy of the store at revision %d" % copy["revision"])
+    time.sleep(COPY_AGE_S - VERSIONS_BEFORE * VERSION_GAP_S)
+    newest = None
+    for step in range(VERSIONS_BEFORE):
+        newest = version(12 + step, 1900 + step)
+        log.write("operator writes %s, confirmed at revision %d" % (newest["version"], store.put("op/config", newest)))
+        time.sleep(VERSION_GAP_S)
 
-    names = ["upload-%d" % number for number in range(6)]
-    callers = [threading.Thread(target=upload, args=(name,)) for name in names]
-    for one in callers:
-        one.start()
-    time.sleep(0.5)
-    if any(not any(one.ran(name) for one in upstreams) for name in names):
-        raise standins.cannot_run("the uploads have not reached the backends")
     if TROUBLE:
-        host.signal(signal.SIGTERM)
-    for one in callers:
-        one.join()
-    lost = [name for name in names if results[name] != 200]
-    return "%d of %d uploads were broken off while their backends were at work: %s" % (
-        len(lost), len(names), {name: results[name] for name in lost}) if lost else None
+        store.go_away()
+        log.write("the store is away")
+        time.sleep(AWAY_S)
+        store.come_back_from(copy)
+        log.write("the store is back from the copy, era %d, revision %d" % (store.era, store.revision))
+        # "What the operator and the backends wrote is written again."
+        log.write("operator writes %s again, at revision %d" % (newest["version"], store.put("op/config", newest)))
+        for service in upstreams.values():
+            for one in service:
+                one.announce()
+    else:
+        time.sleep(AWAY_S)
+    returned = time.monotonic()
+
+    time.sleep(1.5)
+    # Takes a key away and moves a route to another service.
+    last = version(30, 2000, "agenda-new", ["key-one"])
+    log.write("operator writes %s (without key-two; /agenda/ goes to agenda-new), confirmed at revision %d"
+              % (last["version"], store.put("op/config", last)))
+    confirmed = time.monotonic()
+    # In touch: the store is stable for contactMs. The longest stretch of the bound is granted too.
+    judged_from = max(confirmed + APPLY_S + STRETCH_S, returned + CONTACT_S) + 0.5
+    time.sleep(max(0.0, judged_from - time.monotonic()))
+    log.write("judged from here on, %.1f s after the confirmation" % (time.monotonic() - confirmed))
+
+    stale = []
+    for turn in range(5):
+        for host in hosts:
+            name = "judged-%d-%s" % (turn, host.name)
+            if host.ask(name + "-key", "/folios/1", key="key-two") != 401:
+                stale.append(name + " ran with a key that was taken away")
+            host.ask(name + "-book", "/agenda/1", method="POST")
+            if any(one.ran(name + "-book") for one in upstreams["agenda-old"]):
+                stale.append(name + " was run by the old service")
+        time.sleep(1)
+    log.write("%d of 30 requests handled as only an older version allows: %s" % (len(stale), stale))
+    return "%d of 30 requests handled as only an older version allows" % len(stale) if stale else None
 
 
 standins.play(case)
