--- a/review/7/case.py
+++ b/review/7/case.py
@@ -28,10 +28,7 @@
     for service in ("folios", "agenda-old", "agenda-new"):
         upstreams[service] = [standins.upstream("i-%s-%s" % (service, zone), service, zone, log, store)
                               for zone in ("mty-a", "qro-a")]
-    for number, zone in enumerate(standins.ZONES):
-        hosts.append(standins.entry_host(folder, "front-%s-1" % zone, zone, store.port, log))
-        hosts[number].start()
-    standins.wait_until("all hosts ready", 10, lambda: all(host.is_ready() for host in hosts))
+    standins.start_hosts(hosts, folder, store, log)
     time.sleep(3)
     for host in hosts:
         if host.ask("first-" + host.name, "/folios/1") != 200 or host.ask("first-two-" + host.name, "/agenda/1",
--- a/review/common-2/standins.py
+++ b/review/common-2/standins.py
@@ -7,6 +7,7 @@
 import http.server
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -248,7 +249,7 @@
 
         self.handler = handler
         self.server = None
-        self.listen(0)
+        self.listen(free_ports(1)[0])
         threading.Thread(target=self._beat, daemon=True).start()
 
     def listen(self, port):
@@ -305,12 +306,17 @@
 
 
 def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
+    """Ports below the range from which the system takes those of outgoing connections."""
+    ports = []
+    while len(ports) < count:
+        port = random.randrange(15000, 32000)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -318,16 +324,19 @@
     """One process of the deploy file's role, with settings as deploy/steering.json makes them."""
 
     def __init__(self, folder, name, zone, store_port, log):
-        self.name, self.log, self.folder, self.process = name, log, folder, None
-        self.callers, self.ready, self.lookups, self.peers, self.metrics = free_ports(5)
+        self.name, self.zone, self.store_port, self.log, self.folder, self.process = name, zone, store_port, log, folder, None
         self.settings = os.path.join(folder, name + ".json")
+        self.take_ports()
+
+    def take_ports(self):
+        self.callers, self.ready, self.lookups, self.peers, self.metrics = free_ports(5)
         with open(self.settings, "w", encoding="utf-8") as file:
-            json.dump({"host": name, "region": ZONES[zone], "failure_domain": zone, "capacity": 0.2, "link_mbps": 1000,
+            json.dump({"host": self.name, "region": ZONES[self.zone], "failure_domain": self.zone, "capacity": 0.2, "link_mbps": 1000,
                        "memory_mb": 260, "descriptors": 4100,
                        "listen": {"callers": "127.0.0.1:%d" % self.callers, "readiness": "127.0.0.1:%d" % self.ready,
                                   "lookups": "127.0.0.1:%d" % self.lookups, "peers": "127.0.0.1:%d" % self.peers,
                                   "metrics": "127.0.0.1:%d" % self.metrics},
-                       "store": "127.0.0.1:%d" % store_port,
+                       "store": "127.0.0.1:%d" % self.store_port,
                        "failure_domains": [{"name": one, "region": region} for one, region in ZONES.items()],
                        "bounds": {"lookup_lifetime_s": 5, "stop_time_s": GRACE_S, "retry_ratio": 0.2, "extra_retries": 56,
                                   "retry_window_s": 10}}, file)
@@ -404,9 +413,29 @@
     raise cannot_run("%s not within %.0f s" % (what, seconds))
 
 
+def start_hosts(hosts, folder, platform_store, log):
+    """Starts one host in each zone and waits until all are ready. One whose port was taken meanwhile starts with others."""
+    for zone in ZONES:
+        hosts.append(entry_host(folder, "front-%s-1" % zone, zone, platform_store.port, log))
+        hosts[-1].start()
+
+    def are_ready():
+        for host in hosts:
+            if host.process.poll() is not None:
+                host.take_ports()
+                host.start()
+        return all(host.is_ready() for host in hosts)
+
+    wait_until("all hosts ready", 15, are_ready)
+
+
 def play(case):
     """Runs `case(log, folder, hosts)`, which returns a text that tells how the rule was broken, or None. Exits with 1 if
     it was broken, 0 if it held and 2 if the case could not run."""
+    def told_to_stop(*_):
+        raise cannot_run("told to stop")
+
+    signal.signal(signal.SIGTERM, told_to_stop)
     log = record(os.environ["CASE"])
     folder = tempfile.mkdtemp()
     hosts = []
