Log entries that a read of the store skips as older than known

The log showed that hosts read the store again every 0.9 s, but not whether the confirmed configuration was missing in what they read, was dropped by its revision, or by its version. fleet_read now names the revision that the store returned and the one known before; entry_skipped names each entry that is dropped.

The store delivers the configuration; the comparison of revisions drops it.

--- a/src/libraries/gateway/fleet_synchronizer.cpp
+++ b/src/libraries/gateway/fleet_synchronizer.cpp
@@ -282,14 +282,15 @@
         apply_entry(key, std::nullopt, revision, source);
     for (const auto& [key, entry] : entries)
         apply_entry(key, entry.value, entry.revision, source);
-    m_revision = std::max(m_revision, revision);
+    const std::int64_t known_revision = std::exchange(m_revision, std::max(m_revision, revision));
     m_changes.clear();
     m_change_bytes = 0;
     m_changes_from = m_revision;
     m_fleet.confirm(m_revision, boot_time_now());
     const bool was_synchronized = std::exchange(m_is_synchronized, true);
     m_log.write(log_level::info, "fleet_read", field("source", source), field("revision", m_revision),
-                field("entries", entries.size()), field("first", !was_synchronized));
+                field("read_at", revision), field("known_before", known_revision), field("entries", entries.size()),
+                field("first", !was_synchronized));
     if (m_on_change)
         m_on_change();
 }
@@ -311,6 +312,9 @@
     const auto known = m_entries.find(key);
     const bool is_known = known != m_entries.end() && known->second.revision == revision && value;
     const bool is_outdated = known != m_entries.end() && known->second.revision > revision;
+    if (is_outdated)
+        m_log.write(log_level::info, "entry_skipped", field("key", key), field("revision", revision),
+                    field("known_revision", known->second.revision), field("source", source));
     if (is_known || is_outdated)
         return;
     const decoded_entry decoded = decode_entry(key, value);
