--- a/src/libraries/gateway/fleet_exchange.cpp
+++ b/src/libraries/gateway/fleet_exchange.cpp
@@ -209,10 +209,10 @@
         m_log.write(log_level::warn, "peer_lost", field("peer", peer), field("cause", cause));
 }
 
-std::optional<std::string> fleet_exchange::request_snapshot(std::int64_t known_revision, time_point now) {
+std::optional<std::string> fleet_exchange::request_snapshot(store_position known_position, time_point now) {
     if (m_bus == nullptr)
         return std::nullopt;
-    const auto name = m_membership.best_informed_peer(known_revision, now);
+    const auto name = m_membership.best_informed_peer(known_position, now);
     if (!name)
         return std::nullopt;
     const auto endpoint = endpoint_of(*name);
--- a/src/libraries/gateway/fleet_exchange.h
+++ b/src/libraries/gateway/fleet_exchange.h
@@ -70,9 +70,9 @@
     /// Whether this host is the reporter of its region. False in fleets without reporters.
     bool is_reporter(time_point now) const;
 
-    /// Requests a snapshot from the peer that reported the highest store revision above the given one. Absent if there
-    /// is no such peer or it does not reply.
-    std::optional<std::string> request_snapshot(std::int64_t known_revision, time_point now);
+    /// Requests a snapshot from the peer that knows the store's history furthest, beyond the given position. Absent if
+    /// there is no such peer or it does not reply.
+    std::optional<std::string> request_snapshot(store_position known_position, time_point now);
 
     /// Requests rate tokens from the host that holds the account's pool. Absent if it does not reply.
     std::optional<pool_grant> request_tokens(const host_id& owner, const account_id& account);
--- a/src/libraries/gateway/fleet_message_codec.cpp
+++ b/src/libraries/gateway/fleet_message_codec.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-constexpr std::string_view record_version = "1";
-constexpr std::string_view region_report_version = "2";
+constexpr std::string_view record_version = "2";
+constexpr std::string_view region_report_version = "3";
 /// Demand is encoded in hundredths of a request per second.
 constexpr double demand_scale = 100;
 /// Fractions are encoded in ten-thousandths.
@@ -155,7 +155,9 @@
     if (!changes)
         return;
     for (const store_change& change : *changes) {
-        writer.add(change.key).add_number(change.revision).add_number(change.value ? 1 : 0);
+        writer.add(change.key);
+        write_position(writer, change.position);
+        writer.add_number(change.value ? 1 : 0);
         if (change.value)
             writer.add(*change.value);
     }
@@ -172,7 +174,7 @@
     for (std::int64_t index = 0; index < count; ++index) {
         store_change change;
         BOOST_OUTCOME_TRY(change.key, reader.read());
-        BOOST_OUTCOME_TRY(change.revision, reader.read_number());
+        BOOST_OUTCOME_TRY(change.position, read_position(reader));
         BOOST_OUTCOME_TRY(const auto has_value, reader.read_number());
         if (has_value != 0) {
             BOOST_OUTCOME_TRY(change.value, reader.read());
@@ -184,10 +186,23 @@
 
 } // namespace
 
+void write_position(record_writer& writer, const store_position& position) {
+    writer.add_number(number_of(position.era)).add_number(position.revision);
+}
+
+result<store_position> read_position(record_reader& reader) {
+    BOOST_OUTCOME_TRY(const auto era, reader.read_number());
+    BOOST_OUTCOME_TRY(const auto revision, reader.read_number());
+    if (era < 0 || revision < 0)
+        return failure(error_code::protocol_violation, "peer message: store position out of range");
+    return store_position{.era = store_era{era}, .revision = revision};
+}
+
 std::string write_host_report(const host_report& report) {
     record_writer writer;
     writer.add(record_version).add(report.host).add_number(to_signed(report.incarnation));
-    writer.add_number(report.is_leaving ? 1 : 0).add_number(report.store_revision);
+    writer.add_number(report.is_leaving ? 1 : 0);
+    write_position(writer, report.store_position);
     write_common_lists(writer, report);
     return writer.text();
 }
@@ -201,7 +216,7 @@
     report.incarnation = static_cast<incarnation>(run);
     BOOST_OUTCOME_TRY(const auto leaving, reader.read_number());
     report.is_leaving = leaving != 0;
-    BOOST_OUTCOME_TRY(report.store_revision, reader.read_number());
+    BOOST_OUTCOME_TRY(report.store_position, read_position(reader));
     BOOST_OUTCOME_TRYV(read_common_lists(reader, report));
     BOOST_OUTCOME_TRYV(reader.finish());
     return report;
@@ -216,7 +231,8 @@
     writer.add_number(to_signed(regional_report.hosts.size()));
     for (const relayed_host& host : regional_report.hosts) {
         writer.add(host.name).add_number(to_signed(host.incarnation)).add_number(host.is_leaving ? 1 : 0);
-        writer.add_number(host.store_revision).add_number(host.age.count());
+        write_position(writer, host.store_position);
+        writer.add_number(host.age.count());
     }
     write_common_lists(writer, regional_report);
     return writer.text();
@@ -238,7 +254,7 @@
         host.incarnation = static_cast<incarnation>(run);
         BOOST_OUTCOME_TRY(const auto leaving, reader.read_number());
         host.is_leaving = leaving != 0;
-        BOOST_OUTCOME_TRY(host.store_revision, reader.read_number());
+        BOOST_OUTCOME_TRY(host.store_position, read_position(reader));
         BOOST_OUTCOME_TRY(const auto age, reader.read_number());
         // A negative age would make a host count as live for longer.
         if (age < 0 || age > max_age.count())
@@ -275,7 +291,8 @@
 std::string write_region_update(const region_update& update) {
     record_writer writer;
     writer.add(record_version).add(update.reporter).add_number(to_signed(update.reporter_incarnation));
-    writer.add_number(update.store_revision).add_number(update.follows_store ? 1 : 0);
+    write_position(writer, update.store_position);
+    writer.add_number(update.follows_store ? 1 : 0);
     writer.add_number(update.counts_requester ? 1 : 0);
     write_changes(writer, update.changes);
     write_names(writer, update.timed_out);
@@ -308,7 +325,7 @@
     BOOST_OUTCOME_TRY(update.reporter, reader.read());
     BOOST_OUTCOME_TRY(const auto run, reader.read_number());
     update.reporter_incarnation = static_cast<incarnation>(run);
-    BOOST_OUTCOME_TRY(update.store_revision, reader.read_number());
+    BOOST_OUTCOME_TRY(update.store_position, read_position(reader));
     BOOST_OUTCOME_TRY(const auto follows, reader.read_number());
     update.follows_store = follows != 0;
     BOOST_OUTCOME_TRY(const auto heard, reader.read_number());
--- a/src/libraries/gateway/fleet_message_codec.h
+++ b/src/libraries/gateway/fleet_message_codec.h
@@ -9,6 +9,15 @@
 
 namespace ragworthinge {
 
+class record_reader;
+class record_writer;
+
+/// Appends a position as two numbers, the era and the revision.
+void write_position(record_writer& writer, const store_position& position);
+
+/// Error: protocol_violation.
+result<store_position> read_position(record_reader& reader);
+
 std::string write_host_report(const host_report& report);
 
 /// Error: protocol_violation.
--- a/src/libraries/gateway/fleet_synchronizer.cpp
+++ b/src/libraries/gateway/fleet_synchronizer.cpp
@@ -1,6 +1,7 @@
 #include "gateway/fleet_synchronizer.h"
 
 #include "base/boot_clock.h"
+#include "gateway/fleet_message_codec.h"
 #include "gateway/host_record.h"
 #include "net/fiber_runtime.h"
 #include "requests/record_codec.h"
@@ -12,7 +13,7 @@
 
 namespace {
 
-constexpr std::string_view snapshot_version = "1";
+constexpr std::string_view snapshot_version = "2";
 
 std::string_view to_string(change_effect effect) {
     switch (effect) {
@@ -93,7 +94,7 @@
             continue;
         }
         if (outcome.error().code == error_code::not_found) {
-            m_log.write(log_level::info, "store_history_lost", field("revision", m_revision));
+            m_log.write(log_level::info, "store_history_lost", field("revision", m_position.revision));
             m_is_synchronized = false;
             if (const auto reread = read_all_entries(); reread) {
                 record_contact(requested_at);
@@ -116,7 +117,7 @@
         m_recovered_at = now;
     if (!m_has_contact) {
         m_has_contact = true;
-        m_log.write(log_level::info, "store_regained", field("revision", m_revision),
+        m_log.write(log_level::info, "store_regained", field("revision", m_position.revision),
                     field("away", now - m_contact_at));
     }
     m_contact_at = now;
@@ -127,7 +128,7 @@
         return;
     m_has_contact = false;
     m_log.write(log_level::warn, "store_lost", field("cause", cause.message), field("code", to_string(cause.code)),
-                field("revision", m_revision), field("contact_age", contact_age(boot_time_now())));
+                field("revision", m_position.revision), field("contact_age", contact_age(boot_time_now())));
 }
 
 result<void> fleet_synchronizer::read_all_entries() {
@@ -135,64 +136,66 @@
     prefixes.emplace_back(product_key_prefix);
     const time_point requested_at = boot_time_now();
     std::map<std::string, known_entry> entries;
-    std::optional<std::int64_t> oldest;
+    std::optional<store_position> oldest;
     for (const std::string& prefix : prefixes) {
         BOOST_OUTCOME_TRY(auto range, m_store.get_prefix(prefix));
+        if (oldest && !is_same_era(*oldest, range.position))
+            return failure(error_code::unavailable, "the store came back from a copy between two reads");
         for (store_entry& entry : range.entries)
-            entries[entry.key] = {std::move(entry.value), entry.mod_revision};
-        // The first watch starts at the oldest revision, so it repeats changes that happened between two of these
+            entries[entry.key] = {std::move(entry.value), {range.position.era, entry.mod_revision}};
+        // The first watch starts at the oldest position, so it repeats changes that happened between two of these
         // reads.
-        oldest = std::min(oldest.value_or(range.revision), range.revision);
+        oldest = std::min(oldest.value_or(range.position), range.position);
     }
     record_contact(requested_at);
-    replace_entries(entries, oldest.value_or(0), "store");
+    replace_entries(entries, oldest.value_or(store_position()), "store");
     return boost::outcome_v2::success();
 }
 
 result<void> fleet_synchronizer::read_changes() {
     const time_point requested_at = boot_time_now();
-    BOOST_OUTCOME_TRY(const auto revision,
-                      m_store.watch_prefix("", m_revision, [&](const std::vector<store_event>& events) {
+    BOOST_OUTCOME_TRY(const auto position,
+                      m_store.watch_prefix("", m_position, [&](const std::vector<store_event>& events) {
                           // The outage must be recorded before the events are applied: after one, removals may be
                           // entries that lapsed.
                           record_contact(requested_at);
                           for (const store_event& event : events) {
                               // A region update may have brought later changes meanwhile; the removals among them are
                               // final.
-                              if (event.mod_revision <= m_revision)
+                              if (event.position <= m_position)
                                   continue;
-                              retain_change(event.key, event.value, event.mod_revision);
-                              apply_entry(event.key, event.value, event.mod_revision, "store");
+                              retain_change(event.key, event.value, event.position);
+                              apply_entry(event.key, event.value, event.position, "store");
                           }
                           return false;
                       }));
-    m_revision = std::max(m_revision, revision);
-    m_fleet.confirm(m_revision, boot_time_now());
+    m_position = std::max(m_position, position);
+    m_fleet.confirm(m_position, boot_time_now());
     if (m_on_change)
         m_on_change();
     return boost::outcome_v2::success();
 }
 
 void fleet_synchronizer::retain_change(const std::string& key, const std::optional<std::string>& value,
-                                       std::int64_t revision) {
-    m_changes.push_back({key, value, revision});
+                                       store_position position) {
+    m_changes.push_back({key, value, position});
     m_change_bytes += size_of_change(m_changes.back());
     while (m_change_bytes > m_options.retained_change_bytes) {
-        // A host that knows the revision of a dropped change needs no change of that revision, so the revision itself
+        // A host that knows the position of a dropped change needs no change at that position, so the position itself
         // becomes the lower limit.
-        m_changes_from = m_changes.front().revision;
+        m_changes_from = m_changes.front().position;
         m_change_bytes -= size_of_change(m_changes.front());
         m_changes.pop_front();
     }
 }
 
-std::optional<std::vector<store_change>> fleet_synchronizer::changes_since(std::int64_t revision) const {
-    if (revision < m_changes_from)
+std::optional<std::vector<store_change>> fleet_synchronizer::changes_since(store_position position) const {
+    if (position < m_changes_from)
         return std::nullopt;
     std::vector<store_change> changes;
     std::size_t bytes = 0;
     for (const store_change& change : m_changes) {
-        if (change.revision <= revision)
+        if (change.position <= position)
             continue;
         bytes += size_of_change(change);
         if (bytes > m_options.max_region_update_change_bytes)
@@ -205,29 +208,30 @@
 void fleet_synchronizer::apply_region_update(const region_update& update, time_point requested_at) {
     if (!m_is_synchronized)
         return;
-    if (!update.changes && update.store_revision > m_revision) {
+    if (!update.changes && update.store_position > m_position) {
         m_log.write(log_level::debug, "bulletin_without_changes", field("reporter", update.reporter),
-                    field("revision", m_revision), field("reporter_revision", update.store_revision));
+                    field("revision", m_position.revision), field("reporter_revision", update.store_position.revision));
         m_region_update_at.reset();
         return;
     }
-    if (update.follows_store) {
+    // A reporter that still follows an earlier era knows nothing of what was written in this one.
+    if (update.follows_store && is_same_era(update.store_position, m_position)) {
         record_contact(requested_at);
         m_region_update_at = std::max(m_region_update_at.value_or(requested_at), requested_at);
-        m_fleet.confirm(m_revision, boot_time_now());
+        m_fleet.confirm(m_position, boot_time_now());
     } else {
         m_region_update_at.reset();
     }
-    if (update.store_revision <= m_revision)
+    if (update.store_position <= m_position)
         return;
     for (const store_change& change : *update.changes) {
-        if (change.revision <= m_revision)
+        if (change.position <= m_position)
             continue;
-        retain_change(change.key, change.value, change.revision);
-        apply_entry(change.key, change.value, change.revision, update.reporter);
+        retain_change(change.key, change.value, change.position);
+        apply_entry(change.key, change.value, change.position, update.reporter);
     }
-    m_revision = update.store_revision;
-    m_fleet.confirm(m_revision, boot_time_now());
+    m_position = update.store_position;
+    m_fleet.confirm(m_position, boot_time_now());
     if (m_on_change)
         m_on_change();
 }
@@ -235,7 +239,8 @@
 void fleet_synchronizer::request_peer_snapshot() {
     if (!m_request_peer_snapshot)
         return;
-    const auto text = m_request_peer_snapshot(m_is_synchronized ? m_revision : -1);
+    const auto text =
+        m_request_peer_snapshot(m_is_synchronized ? m_position : store_position{.era = {}, .revision = -1});
     if (!text)
         return;
     if (const auto applied = apply_snapshot(*text); !applied)
@@ -244,57 +249,94 @@
 
 std::string fleet_synchronizer::snapshot() const {
     record_writer writer;
-    writer.add(snapshot_version).add_number(m_revision);
+    writer.add(snapshot_version);
+    write_position(writer, m_position);
     writer.add_number(static_cast<std::int64_t>(m_entries.size()));
-    for (const auto& [key, entry] : m_entries)
-        writer.add(key).add(entry.value).add_number(entry.revision);
+    for (const auto& [key, entry] : m_entries) {
+        writer.add(key).add(entry.value);
+        write_position(writer, entry.position);
+    }
     return writer.text();
 }
 
 result<void> fleet_synchronizer::apply_snapshot(std::string_view text) {
     record_reader reader(text);
     BOOST_OUTCOME_TRYV(reader.expect(snapshot_version));
-    BOOST_OUTCOME_TRY(const auto revision, reader.read_number());
+    BOOST_OUTCOME_TRY(const auto position, read_position(reader));
     BOOST_OUTCOME_TRY(const auto count, reader.read_number());
     std::map<std::string, known_entry> entries;
     for (std::int64_t index = 0; index < count; ++index) {
         BOOST_OUTCOME_TRY(const std::string key, reader.read());
         BOOST_OUTCOME_TRY(std::string value, reader.read());
-        BOOST_OUTCOME_TRY(const auto entry_revision, reader.read_number());
-        entries[key] = {std::move(value), entry_revision};
+        BOOST_OUTCOME_TRY(const auto entry_position, read_position(reader));
+        entries[key] = {std::move(value), entry_position};
     }
     BOOST_OUTCOME_TRYV(reader.finish());
     // The store may have responded while the request to the peer was in progress.
-    if (m_is_synchronized && revision <= m_revision)
+    if (m_is_synchronized && position <= m_position)
         return boost::outcome_v2::success();
-    replace_entries(entries, revision, "peer");
+    replace_entries(entries, position, "peer");
     return boost::outcome_v2::success();
 }
 
-void fleet_synchronizer::replace_entries(const std::map<std::string, known_entry>& entries, std::int64_t revision,
+void fleet_synchronizer::replace_entries(const std::map<std::string, known_entry>& entries, store_position position,
                                          std::string_view source) {
+    if (!m_entries.empty() && position.era > m_position.era)
+        begin_era(position, source);
+    const bool may_return = may_have_lapsed(boot_time_now());
     std::vector<std::string> gone;
+    std::size_t awaited = 0;
     for (const auto& [key, known] : m_entries) {
-        if (!entries.contains(key))
+        if (entries.contains(key))
+            continue;
+        // Hosts write their own records again and are known by their reports meanwhile.
+        if (may_return && known.position.era < position.era && !host_of_record_key(key))
+            ++awaited;
+        else
             gone.push_back(key);
     }
     for (const std::string& key : gone)
-        apply_entry(key, std::nullopt, revision, source);
+        apply_entry(key, std::nullopt, position, source);
     for (const auto& [key, entry] : entries)
-        apply_entry(key, entry.value, entry.revision, source);
-    const std::int64_t known_revision = std::exchange(m_revision, std::max(m_revision, revision));
+        apply_entry(key, entry.value, entry.position, source);
+    const store_position known_position = std::exchange(m_position, std::max(m_position, position));
     m_changes.clear();
     m_change_bytes = 0;
-    m_changes_from = m_revision;
-    m_fleet.confirm(m_revision, boot_time_now());
+    m_changes_from = m_position;
+    m_fleet.confirm(m_position, boot_time_now());
     const bool was_synchronized = std::exchange(m_is_synchronized, true);
-    m_log.write(log_level::info, "fleet_read", field("source", source), field("revision", m_revision),
-                field("read_at", revision), field("known_before", known_revision), field("entries", entries.size()),
-                field("first", !was_synchronized));
+    m_log.write(log_level::info, "fleet_read", field("source", source), field("era", number_of(m_position.era)),
+                field("revision", m_position.revision), field("read_at", position.revision),
+                field("known_before", known_position.revision), field("entries", entries.size()),
+                field("awaited", awaited), field("first", !was_synchronized));
     if (m_on_change)
         m_on_change();
 }
 
+void fleet_synchronizer::begin_era(store_position position, std::string_view source) {
+    m_log.write(log_level::warn, "store_restored", field("era", number_of(position.era)),
+                field("known_era", number_of(m_position.era)), field("revision", position.revision),
+                field("known_revision", m_position.revision), field("source", source));
+    m_recovered_at = boot_time_now();
+    m_runtime.spawn([this] {
+        while (may_have_lapsed(boot_time_now()))
+            m_runtime.sleep_for(m_options.check_period);
+        drop_unwritten_entries();
+    });
+}
+
+void fleet_synchronizer::drop_unwritten_entries() {
+    std::vector<std::string> unwritten;
+    for (const auto& [key, known] : m_entries) {
+        if (known.position.era < m_position.era)
+            unwritten.push_back(key);
+    }
+    for (const std::string& key : unwritten)
+        apply_entry(key, std::nullopt, m_position, "recovery");
+    if (!unwritten.empty() && m_on_change)
+        m_on_change();
+}
+
 decoded_entry fleet_synchronizer::decode_entry(const std::string& key, const std::optional<std::string>& value) const {
     const auto host = host_of_record_key(key);
     if (!host)
@@ -308,49 +350,50 @@
 }
 
 void fleet_synchronizer::apply_entry(const std::string& key, const std::optional<std::string>& value,
-                                     std::int64_t revision, std::string_view source) {
+                                     store_position position, std::string_view source) {
     const auto known = m_entries.find(key);
-    const bool is_known = known != m_entries.end() && known->second.revision == revision && value;
-    const bool is_outdated = known != m_entries.end() && known->second.revision > revision;
+    const bool is_known = known != m_entries.end() && known->second.position == position && value;
+    const bool is_outdated = known != m_entries.end() && known->second.position > position;
     if (is_outdated)
-        m_log.write(log_level::info, "entry_skipped", field("key", key), field("revision", revision),
-                    field("known_revision", known->second.revision), field("source", source));
+        m_log.write(log_level::info, "entry_skipped", field("key", key), field("revision", position.revision),
+                    field("known_revision", known->second.position.revision), field("source", source));
     if (is_known || is_outdated)
         return;
     const decoded_entry decoded = decode_entry(key, value);
     if (!decoded.problem.empty())
-        m_log.write(log_level::warn, "entry_unreadable", field("key", key), field("revision", revision),
+        m_log.write(log_level::warn, "entry_unreadable", field("key", key), field("revision", position.revision),
                     field("problem", decoded.problem));
     const change_effect effect =
-        decoded.change ? apply_change(key, *decoded.change, revision, source) : change_effect::unchanged;
+        decoded.change ? apply_change(key, *decoded.change, position, source) : change_effect::unchanged;
     if (effect == change_effect::outdated) {
         // Peers that take a snapshot must not begin with an entry that is known to be outdated.
         if (known != m_entries.end())
-            known->second.revision = revision;
+            known->second.position = position;
     } else if (value) {
-        m_entries[key] = {*value, revision};
+        m_entries[key] = {*value, position};
     } else if (known != m_entries.end()) {
         m_entries.erase(known);
     }
 }
 
 change_effect fleet_synchronizer::apply_change(const std::string& key, const fleet_change& change,
-                                               std::int64_t revision, std::string_view source) {
+                                               store_position position, std::string_view source) {
     const time_point now = boot_time_now();
     if (const auto* withdrawn = std::get_if<upstream_withdrawn>(&change);
         withdrawn != nullptr && may_have_lapsed(now)) {
         m_fleet.mark_lapsed(withdrawn->id, *m_recovered_at);
-        m_log.write(log_level::info, "upstream_lapsed", field("upstream", withdrawn->id), field("revision", revision));
+        m_log.write(log_level::info, "upstream_lapsed", field("upstream", withdrawn->id),
+                    field("revision", position.revision));
         return change_effect::applied;
     }
     const change_effect effect = m_fleet.apply(change, now);
     if (const auto* host = std::get_if<host_announced>(&change))
-        m_membership.announce(host->host, now, revision);
+        m_membership.announce(host->host, now, position);
     if (const auto* host = std::get_if<host_withdrawn>(&change))
         m_membership.withdraw(host->name, now);
     if (effect != change_effect::unchanged)
         m_log.write(log_level::info, "fleet_change", field("what", std::visit(change_description(), change)),
-                    field("effect", to_string(effect)), field("key", key), field("revision", revision),
+                    field("effect", to_string(effect)), field("key", key), field("revision", position.revision),
                     field("source", source));
     return effect;
 }
--- a/src/libraries/gateway/fleet_synchronizer.h
+++ b/src/libraries/gateway/fleet_synchronizer.h
@@ -52,6 +52,8 @@
     /// expired) and not as removed. The duration of an answered poll does not count, since a watch waits for changes.
     duration outage_threshold = std::chrono::milliseconds(2200);
     /// Time after the store's recovery in which entries may still lapse. See `observed_upstream_options::lapse_grace`.
+    /// After the store has come back from a copy, also the time in which operators and upstreams write again what the
+    /// copy does not have.
     duration recovery_period = std::chrono::milliseconds(2000);
 };
 
@@ -59,8 +61,8 @@
 /// does not respond.
 class fleet_synchronizer {
 public:
-    /// Requests a snapshot from a peer; absent if no peer knows a revision above the given one.
-    using peer_snapshot_request = std::function<std::optional<std::string>(std::int64_t revision)>;
+    /// Requests a snapshot from a peer; absent if no peer knows the store's history beyond the given position.
+    using peer_snapshot_request = std::function<std::optional<std::string>(store_position known)>;
 
     fleet_synchronizer(fiber_runtime& runtime, platform_store& store, const deployment_adapter& adapter,
                        fleet_state& fleet, fleet_membership& membership, event_log& log,
@@ -77,8 +79,8 @@
     /// Whether the store responds to this host.
     bool follows_store(time_point now) const;
 
-    /// Changes above the revision, for a region update; absent if they are no longer known or too large.
-    std::optional<std::vector<store_change>> changes_since(std::int64_t revision) const;
+    /// Changes after the position, for a region update; absent if they are no longer known or too large.
+    std::optional<std::vector<store_change>> changes_since(store_position position) const;
 
     /// Applies the store changes of a region update that was requested at `requested_at`.
     void apply_region_update(const region_update& update, time_point requested_at);
@@ -89,8 +91,8 @@
     /// Whether all entries were read at least once, from the store or from a peer.
     bool is_synchronized() const noexcept { return m_is_synchronized; }
 
-    /// Store revision up to which changes are known.
-    std::int64_t revision() const noexcept { return m_revision; }
+    /// Position in the store's history up to which changes are known.
+    store_position position() const noexcept { return m_position; }
 
     /// Time since the store's last response.
     duration contact_age(time_point now) const { return now - m_contact_at; }
@@ -101,21 +103,25 @@
 private:
     struct known_entry {
         std::string value;
-        std::int64_t revision = 0;
+        store_position position;
     };
 
     void run_synchronization();
     duration time_to_next_poll(time_point now) const;
-    void retain_change(const std::string& key, const std::optional<std::string>& value, std::int64_t revision);
+    void retain_change(const std::string& key, const std::optional<std::string>& value, store_position position);
     result<void> read_all_entries();
     result<void> read_changes();
     void request_peer_snapshot();
     result<void> apply_snapshot(std::string_view text);
-    void replace_entries(const std::map<std::string, known_entry>& entries, std::int64_t revision,
+    void replace_entries(const std::map<std::string, known_entry>& entries, store_position position,
                          std::string_view source);
-    void apply_entry(const std::string& key, const std::optional<std::string>& value, std::int64_t revision,
+    /// Keeps the entries that the store's copy does not have until the end of the recovery period.
+    void begin_era(store_position position, std::string_view source);
+    /// Removes the entries of earlier eras that were not written again.
+    void drop_unwritten_entries();
+    void apply_entry(const std::string& key, const std::optional<std::string>& value, store_position position,
                      std::string_view source);
-    change_effect apply_change(const std::string& key, const fleet_change& change, std::int64_t revision,
+    change_effect apply_change(const std::string& key, const fleet_change& change, store_position position,
                                std::string_view source);
     decoded_entry decode_entry(const std::string& key, const std::optional<std::string>& value) const;
     void record_contact(time_point requested_at);
@@ -134,13 +140,13 @@
     peer_snapshot_request m_request_peer_snapshot;
     std::function<void()> m_on_change;
     std::function<bool()> m_is_reporter;
-    std::deque<store_change> m_changes; ///< In order of their revisions, all above `m_changes_from`.
-    std::int64_t m_changes_from = 0;
+    std::deque<store_change> m_changes; ///< In order of their positions, all of one era and after `m_changes_from`.
+    store_position m_changes_from;
     std::size_t m_change_bytes = 0;
     std::optional<time_point> m_region_update_at; ///< When the last usable region update was requested.
     std::optional<time_point> m_poll_started_at;  ///< When the poll in progress was sent.
     std::map<std::string, known_entry> m_entries;
-    std::int64_t m_revision = 0;
+    store_position m_position;
     bool m_is_synchronized = false;
     bool m_has_contact = true;
     time_point m_contact_at;
--- a/src/libraries/gateway/gateway_process.cpp
+++ b/src/libraries/gateway/gateway_process.cpp
@@ -132,7 +132,7 @@
     m_synchronizer->on_reporter_check([this] { return m_exchange.is_reporter(boot_time_now()); });
     m_synchronizer->on_change([this] { apply_fleet_change(); });
     m_synchronizer->on_peer_snapshot_request(
-        [this](std::int64_t revision) { return m_exchange.request_snapshot(revision, boot_time_now()); });
+        [this](store_position known) { return m_exchange.request_snapshot(known, boot_time_now()); });
     m_exchange.set_snapshot_provider([this] { return m_synchronizer->snapshot(); });
     m_registration =
         std::make_unique<host_registration>(m_runtime, *m_store, make_entry_host(m_settings, m_incarnation), m_log);
@@ -215,7 +215,8 @@
 void gateway_process::handle_metrics(http_exchange& exchange) {
     m_metrics.set("ragworthinge_requests_under_way", {}, static_cast<double>(m_gateway.in_progress()));
     m_metrics.set("ragworthinge_requests_waiting", {}, static_cast<double>(m_dispatcher.waiting()));
-    m_metrics.set("ragworthinge_store_revision", {}, static_cast<double>(m_synchronizer->revision()));
+    m_metrics.set("ragworthinge_store_revision", {}, static_cast<double>(m_synchronizer->position().revision));
+    m_metrics.set("ragworthinge_store_era", {}, static_cast<double>(number_of(m_synchronizer->position().era)));
     m_metrics.set("ragworthinge_store_contact_age_seconds", {},
                   std::chrono::duration<double>(m_synchronizer->contact_age(boot_time_now())).count());
     m_metrics.set("ragworthinge_connections_opened", {}, static_cast<double>(m_client.connections_opened()));
@@ -241,7 +242,7 @@
 }
 
 void gateway_process::apply_fleet_change() {
-    m_registration->compare_with_store(m_fleet.hosts(), m_synchronizer->revision());
+    m_registration->compare_with_store(m_fleet.hosts(), m_synchronizer->position());
     if (m_fleet.table() == nullptr)
         return;
     const caller_limits& limits = m_fleet.table()->configuration().limits;
@@ -295,7 +296,7 @@
     host_report report{.host = m_settings.host,
                        .incarnation = m_incarnation,
                        .is_leaving = m_is_stopping,
-                       .store_revision = m_synchronizer->revision(),
+                       .store_position = m_synchronizer->position(),
                        .demands = m_limiter.report_demands(now),
                        .loads = {},
                        .new_objects = m_gateway.take_new_objects(),
@@ -313,9 +314,9 @@
     const time_point now = boot_time_now();
     region_update update =
         m_update_builder.make_update(update_request, m_last_report, m_exchange.is_reporter(now), now);
-    update.store_revision = m_synchronizer->revision();
+    update.store_position = m_synchronizer->position();
     update.follows_store = m_synchronizer->follows_store(now);
-    update.changes = m_synchronizer->changes_since(update_request.report.store_revision);
+    update.changes = m_synchronizer->changes_since(update_request.report.store_position);
     return update;
 }
 
--- a/src/libraries/gateway/host_registration.cpp
+++ b/src/libraries/gateway/host_registration.cpp
@@ -22,7 +22,7 @@
             if (const auto put = put_record(); put) {
                 m_is_registered = true;
                 m_log.write(log_level::info, "host_registered", field("lease", m_session->lease().value_or(0)),
-                            field("revision", m_record_revision));
+                            field("revision", m_record_position->revision));
                 // The host may have been told to stop while the record was written.
                 if (m_is_stopped)
                     remove_record();
@@ -70,19 +70,20 @@
     }
     if (!outcome.value().succeeded)
         return failure(error_code::conflict, "the record was changed while it was being replaced");
-    m_record_revision = outcome.value().revision;
+    m_record_position = outcome.value().position;
     return boost::outcome_v2::success();
 }
 
-void host_registration::compare_with_store(const std::map<host_id, entry_host>& hosts, std::int64_t revision) {
+void host_registration::compare_with_store(const std::map<host_id, entry_host>& hosts, store_position position) {
     // Before the store's changes are known up to the last write, the record is expected to be missing.
-    if (!m_is_registered || m_is_stopped || revision < m_record_revision)
+    if (!m_is_registered || m_is_stopped || position < m_record_position)
         return;
     const auto stored = hosts.find(m_self.name);
     if (stored != hosts.end() && stored->second.incarnation >= m_self.incarnation)
         return;
     m_is_registered = false;
-    m_log.write(log_level::warn, "host_record_lost", field("written_at", m_record_revision), field("seen_at", revision),
+    m_log.write(log_level::warn, "host_record_lost", field("written_at", m_record_position->revision),
+                field("seen_at", position.revision),
                 field("stored_incarnation", stored == hosts.end() ? 0 : stored->second.incarnation));
 }
 
@@ -92,19 +93,19 @@
 }
 
 void host_registration::remove_record() {
-    if (m_record_revision == 0) {
+    if (!m_record_position) {
         m_log.write(log_level::info, "withdrawal_skipped", field("cause", "the record's write was never confirmed"));
         return;
     }
     const std::string key = host_record_key(m_self.name);
     store_transaction transaction;
-    transaction.compares.push_back({.key = key, .mod_revision = m_record_revision});
+    transaction.compares.push_back({.key = key, .mod_revision = m_record_position->revision});
     transaction.success.push_back({.type = store_operation::kind::remove, .key = key, .value = {}, .lease = 0});
     const auto outcome = m_store.commit(transaction);
     if (!outcome)
         m_log.write(log_level::info, "withdrawal_failed", field("cause", outcome.error().message));
     else
-        m_log.write(log_level::info, "host_withdrawn", field("revision", m_record_revision),
+        m_log.write(log_level::info, "host_withdrawn", field("revision", m_record_position->revision),
                     field("removed", outcome.value().succeeded));
 }
 
--- a/src/libraries/gateway/host_registration.h
+++ b/src/libraries/gateway/host_registration.h
@@ -33,8 +33,8 @@
     void start();
 
     /// Registers again if the store no longer holds this incarnation's record. `hosts` are the records that the store
-    /// held at the given revision.
-    void compare_with_store(const std::map<host_id, entry_host>& hosts, std::int64_t revision);
+    /// held at the given position.
+    void compare_with_store(const std::map<host_id, entry_host>& hosts, store_position position);
 
     /// Removes the record from the store. Blocks the fiber for one store call. A record whose write was never confirmed
     /// is left to the end of its lease.
@@ -52,7 +52,7 @@
     event_log& m_log;
     host_registration_options m_options;
     std::optional<store_session> m_session;
-    std::int64_t m_record_revision = 0; ///< Store revision of the last confirmed write of the record; zero if none.
+    std::optional<store_position> m_record_position; ///< Of the last confirmed write of the record.
     bool m_is_registered = false;
     bool m_is_stopped = false;
 };
--- a/src/libraries/gateway/request_gateway.cpp
+++ b/src/libraries/gateway/request_gateway.cpp
@@ -417,23 +417,24 @@
         request.route == nullptr
             ? std::nullopt
             : allowed_regions(*request.route, request.account == nullptr ? nullptr : &request.account->allowed_regions);
-    m_components.log.write(
-        log_level::info, "request", field("request", request.caller.id), field("route", route),
-        field("account", account), field("service", request.service), field("object", request.object.value_or(0)),
-        field("regions", to_text(regions)), field("status", status), field("reason", reason),
-        field("attempts", request.attempts), field("upstream", upstream), field("taken", to_milliseconds(taken)),
-        field("target", target), field("waited", to_milliseconds(request.waited)),
-        field("connecting", to_milliseconds(request.connecting)),
-        field("last_attempt", to_milliseconds(request.last_attempt)),
-        field("distance", to_milliseconds(request.placed_last.distance)),
-        field("expected_load", request.placed_last.load), field("reported_load", reported_load),
-        field("time_left", to_milliseconds(left)), field("configuration", version),
-        field("may_have_run", request.may_have_run), field("token", request.token_source),
-        field("candidates", request.placed_last.candidates),
-        field("expected_wait", to_milliseconds(request.placed_last.expected_wait)),
-        field("expected_work", to_milliseconds(request.placed_last.expected_processing)),
-        field("knows_object", request.placed_last.knows_object), field("fleet_revision", m_components.fleet.revision()),
-        field("fleet_age", to_milliseconds(m_components.fleet.age(boot_time_now()))));
+    m_components.log.write(log_level::info, "request", field("request", request.caller.id), field("route", route),
+                           field("account", account), field("service", request.service),
+                           field("object", request.object.value_or(0)), field("regions", to_text(regions)),
+                           field("status", status), field("reason", reason), field("attempts", request.attempts),
+                           field("upstream", upstream), field("taken", to_milliseconds(taken)), field("target", target),
+                           field("waited", to_milliseconds(request.waited)),
+                           field("connecting", to_milliseconds(request.connecting)),
+                           field("last_attempt", to_milliseconds(request.last_attempt)),
+                           field("distance", to_milliseconds(request.placed_last.distance)),
+                           field("expected_load", request.placed_last.load), field("reported_load", reported_load),
+                           field("time_left", to_milliseconds(left)), field("configuration", version),
+                           field("may_have_run", request.may_have_run), field("token", request.token_source),
+                           field("candidates", request.placed_last.candidates),
+                           field("expected_wait", to_milliseconds(request.placed_last.expected_wait)),
+                           field("expected_work", to_milliseconds(request.placed_last.expected_processing)),
+                           field("knows_object", request.placed_last.knows_object),
+                           field("fleet_revision", m_components.fleet.position().revision),
+                           field("fleet_age", to_milliseconds(m_components.fleet.age(boot_time_now()))));
     m_components.counters.add("ragworthinge_requests_total", {{"route", route}, {"status", std::to_string(status)}});
     m_components.counters.add(
         "ragworthinge_account_requests_total",
--- a/src/libraries/host/configuration_follower.cpp
+++ b/src/libraries/host/configuration_follower.cpp
@@ -71,26 +71,25 @@
 
 void configuration_follower::watch() {
     const std::string key(configuration_pointer_key);
-    std::int64_t seen_revision = 0;
+    store_position seen;
     bool has_baseline = false;
     for (;;) {
         if (!has_baseline) {
             if (const auto range = m_options.store.get_prefix(key)) {
-                seen_revision = range.value().revision;
+                seen = range.value().position;
                 has_baseline = true;
             }
         }
         if (has_baseline) {
-            const auto watched =
-                m_options.store.watch_prefix(key, seen_revision, [this](const std::vector<store_event>&) {
-                    if (const auto refreshed = refresh(); !refreshed)
-                        m_options.on_problem(refreshed.error().message);
-                    return true;
-                });
+            const auto watched = m_options.store.watch_prefix(key, seen, [this](const std::vector<store_event>&) {
+                if (const auto refreshed = refresh(); !refreshed)
+                    m_options.on_problem(refreshed.error().message);
+                return true;
+            });
             // Without a result the history was compacted or the store is down; the poll has the newest state.
             has_baseline = watched.has_value();
             if (watched)
-                seen_revision = watched.value();
+                seen = watched.value();
         }
         m_options.runtime.sleep_for(pause_after_failure);
     }
--- a/src/libraries/host/share_service.cpp
+++ b/src/libraries/host/share_service.cpp
@@ -169,7 +169,7 @@
 
     BOOST_OUTCOME_TRY(const region_state after, decode_region_state(m_options.region, committed.entries));
     state.page = std::move(page);
-    state.members_mod_revision = committed.revision;
+    state.members_mod_revision = committed.position.revision;
     state.allocator = after.allocator;
     state.allocator_mod_revision = after.allocator_mod_revision;
 
@@ -326,7 +326,7 @@
     m_view.page = state.value().page;
     m_view.members_mod_revision = state.value().members_mod_revision;
     m_view.allocator = next;
-    m_view.allocator_mod_revision = committed.value().revision;
+    m_view.allocator_mod_revision = committed.value().position.revision;
 
     stop_allocating();
     learn_allocator(next.epoch, self);
@@ -412,7 +412,7 @@
     }
     region_state state = m_view;
     state.page = std::move(page);
-    state.members_mod_revision = committed.value().revision;
+    state.members_mod_revision = committed.value().position.revision;
     m_options.on_event("member_fenced", target.holder.host + " was silent");
     region_read(std::move(state), sent_at);
 }
@@ -437,7 +437,7 @@
                 return;
             region_state state = m_view;
             state.page = std::move(page);
-            state.members_mod_revision = committed.value().revision;
+            state.members_mod_revision = committed.value().position.revision;
             region_read(std::move(state), monotonic_clock::now());
         });
         return;
@@ -522,7 +522,7 @@
         bool succeeded = false;
         if (committed && committed.value().succeeded) {
             succeeded = true;
-            ceilings_read(page, committed.value().revision);
+            ceilings_read(page, committed.value().position.revision);
         } else if (committed) {
             for (const store_entry& entry : committed.value().entries) {
                 if (auto current = decode_ceiling_page(entry.value))
--- a/src/libraries/operators/configuration_submitter.cpp
+++ b/src/libraries/operators/configuration_submitter.cpp
@@ -133,7 +133,7 @@
         pending.entries_at_conflict = outcome.value().entries;
         return false;
     }
-    pending.chunk_mod_revisions[number] = outcome.value().revision;
+    pending.chunk_mod_revisions[number] = outcome.value().position.revision;
     return true;
 }
 
--- a/src/libraries/requests/claim_manager.cpp
+++ b/src/libraries/requests/claim_manager.cpp
@@ -181,7 +181,7 @@
     if (m_entries.at(key).step == phase::probing)
         handle_probe(key, found);
     else if (outcome.succeeded)
-        handle_success(key, outcome.revision, time);
+        handle_success(key, outcome.position.revision, time);
     else
         handle_conflict(key, found, time);
 }
--- a/src/libraries/steering/fleet_membership.cpp
+++ b/src/libraries/steering/fleet_membership.cpp
@@ -9,16 +9,18 @@
 
 namespace ragworthinge {
 
-void fleet_membership::announce(const entry_host& host, time_point now, std::int64_t revision) {
+void fleet_membership::announce(const entry_host& host, time_point now, store_position position) {
     m_room_share.reset();
     const auto [entry, created] = m_members.try_emplace(host.name);
     member& known = entry->second;
-    known.announced_revision = revision;
-    known.withdrawn_at.reset();
+    const bool was_withdrawn = std::exchange(known.withdrawn_at, std::nullopt).has_value();
     // Messages of a later incarnation may arrive before its entry.
     if (!created && known.host.incarnation > host.incarnation && is_live(known, now))
         return;
     const bool restarted = created || known.host.incarnation != host.incarnation;
+    // A host that has read the same record in an earlier era of the store knows this host too.
+    if (restarted || was_withdrawn)
+        known.announced_position = position;
     known.host = host;
     if (restarted)
         begin_incarnation(known, now);
@@ -81,7 +83,7 @@
         known.relayed_at = relayed_at;
         known.has_timed_out = false;
         known.report.is_leaving = relayed.is_leaving;
-        known.report.store_revision = std::max(known.report.store_revision, relayed.store_revision);
+        known.report.store_position = std::max(known.report.store_position, relayed.store_position);
     }
     const auto covers = [&](const region_report& old) {
         return std::all_of(old.hosts.begin(), old.hosts.end(), [&](const relayed_host& host) {
@@ -111,13 +113,13 @@
             continue;
         }
         // The reporter has no information about a host whose entry it has not read yet.
-        if (known.announced_revision > update.store_revision && !is_reporter)
+        if (known.announced_position > update.store_position && !is_reporter)
             continue;
         known.relayed_at = std::max(known.relayed_at.value_or(requested_at), requested_at);
         known.has_timed_out = false;
         known.report.is_leaving = leaving.contains(name);
         if (is_reporter)
-            known.report.store_revision = std::max(known.report.store_revision, update.store_revision);
+            known.report.store_position = std::max(known.report.store_position, update.store_position);
     }
     m_region_update = {std::move(update), now};
     // Another host is the reporter now, so the sums computed here are outdated.
@@ -223,7 +225,7 @@
     std::map<upstream_id, std::uint32_t> loads;
     std::map<std::uint64_t, std::uint32_t> upstream_crashes;
     const auto add = [&](const host_report& report, duration age) {
-        aggregate.hosts.push_back({report.host, report.incarnation, report.is_leaving, report.store_revision,
+        aggregate.hosts.push_back({report.host, report.incarnation, report.is_leaving, report.store_position,
                                    std::chrono::duration_cast<std::chrono::milliseconds>(age)});
         for (const account_demand& demand : report.demands)
             demands[demand.account] += demand.requests_per_second;
@@ -436,12 +438,12 @@
     return sums;
 }
 
-std::optional<host_id> fleet_membership::best_informed_peer(std::int64_t known_revision, time_point now) const {
+std::optional<host_id> fleet_membership::best_informed_peer(store_position known_position, time_point now) const {
     std::optional<host_id> best;
     for (const auto& [name, known] : m_members) {
-        if (name == m_options.self || known.report.store_revision <= known_revision || !is_live(known, now))
+        if (name == m_options.self || known.report.store_position <= known_position || !is_live(known, now))
             continue;
-        known_revision = known.report.store_revision;
+        known_position = known.report.store_position;
         best = name;
     }
     return best;
--- a/src/libraries/steering/fleet_membership.h
+++ b/src/libraries/steering/fleet_membership.h
@@ -56,8 +56,8 @@
 
     const fleet_membership_options& options() const noexcept { return m_options; }
 
-    /// Processes a host's entry; `revision` is the store revision of its last change.
-    void announce(const entry_host& host, time_point now, std::int64_t revision = 0);
+    /// Processes a host's entry; `position` is the place of its last change in the store's history.
+    void announce(const entry_host& host, time_point now, store_position position = {});
 
     /// Processes the end of a host's entry. The host remains a member while its reports arrive, since leases also end
     /// during a store outage.
@@ -154,8 +154,8 @@
     /// Returns the direct reports that `reported_demands` and `reported_loads` include.
     std::map<host_id, host_report> counted_reports(time_point now) const;
 
-    /// Returns the live host that knows the highest store revision, if it is above the given one.
-    std::optional<host_id> best_informed_peer(std::int64_t known_revision, time_point now) const;
+    /// Returns the live host that knows the store's history furthest, if that is beyond the given position.
+    std::optional<host_id> best_informed_peer(store_position known_position, time_point now) const;
 
     /// Returns all other hosts that are registered or were live recently.
     std::vector<entry_host> peers() const;
@@ -179,7 +179,7 @@
     struct member {
         entry_host host;
         time_point announced_at;
-        std::int64_t announced_revision = 0;
+        store_position announced_position;
         std::optional<time_point> reported_at; ///< Time of the last direct report.
         std::optional<time_point> relayed_at;  ///< Time when the reporter of its region had the last report.
         std::optional<time_point> withdrawn_at;
--- a/src/libraries/steering/fleet_report.h
+++ b/src/libraries/steering/fleet_report.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "base/identifiers.h"
+#include "base/store_position.h"
 
 #include <chrono>
 #include <cstdint>
@@ -41,7 +42,7 @@
     host_id host;
     ragworthinge::incarnation incarnation = 0;
     bool is_leaving = false;
-    std::int64_t store_revision = 0; ///< Revision up to which the sender knows the store.
+    ragworthinge::store_position store_position; ///< Place up to which the sender knows the store's history.
     std::vector<account_demand> demands;
     std::vector<upstream_load> loads;
     std::vector<known_object> new_objects; ///< Since the previous report.
@@ -53,7 +54,7 @@
     host_id name;
     ragworthinge::incarnation incarnation = 0;
     bool is_leaving = false;
-    std::int64_t store_revision = 0;
+    ragworthinge::store_position store_position;
     std::chrono::milliseconds age{0}; ///< Age of the host's report at the reporter.
 };
 
@@ -87,7 +88,7 @@
 struct store_change {
     std::string key;
     std::optional<std::string> value; ///< Absent if the entry was removed.
-    std::int64_t revision = 0;
+    store_position position;
 };
 
 /// Request of a host to its region's reporter, instead of reporting to all hosts and polling the store. Its report is
@@ -110,13 +111,13 @@
 struct region_update {
     host_id reporter;
     incarnation reporter_incarnation = 0;
-    std::int64_t store_revision = 0; ///< Revision up to which the reporter knows the store.
+    ragworthinge::store_position store_position; ///< Place up to which the reporter knows the store's history.
     /// Whether the store responds to the reporter. If not, the requesting host polls the store itself.
     bool follows_store = false;
     /// Whether the reporter passes the requesting host's data on to other hosts. If not, they reserve only an equal
     /// share of the budgets for it.
     bool counts_requester = false;
-    /// Changes since the store revision of the requesting host; absent if there are too many or the reporter no longer
+    /// Changes since the store position of the requesting host; absent if there are too many or the reporter no longer
     /// has them.
     std::optional<std::vector<store_change>> changes;
     std::vector<host_id> timed_out; ///< Registered hosts whose reports do not reach the reporter.
--- a/src/libraries/steering/fleet_state.cpp
+++ b/src/libraries/steering/fleet_state.cpp
@@ -9,8 +9,8 @@
     return std::visit([&](const auto& one) { return apply_one(one, now); }, change);
 }
 
-void fleet_state::confirm(std::int64_t revision, time_point now) noexcept {
-    m_revision = std::max(m_revision, revision);
+void fleet_state::confirm(store_position position, time_point now) noexcept {
+    m_position = std::max(m_position, position);
     m_confirmed_at = now;
 }
 
--- a/src/libraries/steering/fleet_state.h
+++ b/src/libraries/steering/fleet_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "base/store_position.h"
 #include "base/time.h"
 #include "steering/fleet_change.h"
 #include "steering/observed_upstream.h"
@@ -43,11 +44,11 @@
 
     change_effect apply(const fleet_change& change, time_point now);
 
-    /// Records that all changes up to the store revision are known as of this time, from the store or from a peer.
-    void confirm(std::int64_t revision, time_point now) noexcept;
+    /// Records that all changes up to the position are known as of this time, from the store or from a peer.
+    void confirm(store_position position, time_point now) noexcept;
 
-    /// Store revision up to which changes are known, and the time since it was confirmed.
-    std::int64_t revision() const noexcept { return m_revision; }
+    /// Position in the store's history up to which changes are known, and the time since it was confirmed.
+    store_position position() const noexcept { return m_position; }
     duration age(time_point now) const noexcept { return now - m_confirmed_at; }
 
     /// Marks an upstream whose entry disappeared during a store outage, possibly without having been removed.
@@ -97,7 +98,7 @@
     void record_withdrawal(const upstream_id& id, time_point now);
 
     fleet_state_options m_options;
-    std::int64_t m_revision = 0;
+    store_position m_position;
     time_point m_confirmed_at;
     std::shared_ptr<const steering_table> m_table;
     std::map<upstream_id, std::shared_ptr<observed_upstream>> m_upstreams;
--- a/src/libraries/store/etcd_messages.cpp
+++ b/src/libraries/store/etcd_messages.cpp
@@ -175,8 +175,8 @@
     const bool removed = type != nullptr && type->is_string() && type->as_string() == "DELETE";
     store_event event;
     BOOST_OUTCOME_TRY(event.key, read_bytes(*entry, "key"));
-    BOOST_OUTCOME_TRY(event.mod_revision, read_number(*entry, "mod_revision"));
-    if (event.key.empty() || event.mod_revision <= 0)
+    BOOST_OUTCOME_TRY(event.position.revision, read_number(*entry, "mod_revision"));
+    if (event.key.empty() || event.position.revision <= 0)
         return malformed_response("event has no key or no revision");
     if (!removed) {
         BOOST_OUTCOME_TRY(event.value, read_bytes(*entry, "value"));
@@ -257,7 +257,7 @@
 
 result<store_range> read_range(const json::object& response) {
     store_range range;
-    BOOST_OUTCOME_TRY(range.revision, read_revision(response));
+    BOOST_OUTCOME_TRY(range.position.revision, read_revision(response));
     BOOST_OUTCOME_TRY(range.entries, read_entries(response));
     return range;
 }
@@ -265,7 +265,7 @@
 result<store_transaction_result> read_transaction(const json::object& response) {
     store_transaction_result outcome;
     outcome.succeeded = read_flag(response, "succeeded");
-    BOOST_OUTCOME_TRY(outcome.revision, read_revision(response));
+    BOOST_OUTCOME_TRY(outcome.position.revision, read_revision(response));
     BOOST_OUTCOME_TRY(const auto responses, read_objects(response, "responses"));
     for (const json::object* operation_response : responses) {
         const json::object* range = find_object(*operation_response, "response_range");
--- a/src/libraries/store/etcd_store.cpp
+++ b/src/libraries/store/etcd_store.cpp
@@ -124,8 +124,8 @@
     auto call(call_kind kind, std::string_view target, const std::string& body, Read read)
         -> decltype(read(std::declval<const json::object&>()));
 
-    result<std::int64_t> watch(const std::string& prefix, std::int64_t from_revision,
-                               const std::function<bool(const std::vector<store_event>&)>& on_events);
+    result<store_position> watch(const std::string& prefix, store_position from,
+                                 const std::function<bool(const std::vector<store_event>&)>& on_events);
 
     void close();
 
@@ -400,9 +400,10 @@
         endpoint.idle.clear();
 }
 
-result<std::int64_t> etcd_store::client::watch(const std::string& prefix, std::int64_t from_revision,
-                                               const std::function<bool(const std::vector<store_event>&)>& on_events) {
-    watch_progress progress{.next_revision = from_revision + 1};
+result<store_position>
+etcd_store::client::watch(const std::string& prefix, store_position from,
+                          const std::function<bool(const std::vector<store_event>&)>& on_events) {
+    watch_progress progress{.next_revision = from.revision + 1};
     retry_backoff backoff(m_options.backoff, m_next_seed++);
     time_point last_contact = monotonic_clock::now();
     for (;;) {
@@ -410,7 +411,7 @@
         const time_point opened = monotonic_clock::now();
         const auto ended = run_stream(prefix, progress, on_events);
         if (progress.ended_by_callback)
-            return progress.next_revision - 1;
+            return store_position{.era = from.era, .revision = progress.next_revision - 1};
         if (!ended && ended.error().code == error_code::not_found)
             return ended.error();
         if (m_closed)
@@ -423,7 +424,7 @@
         if (progress.received_anything && now - opened > m_options.backoff.cap)
             backoff.reset();
         if (now - last_contact > m_options.watch_reconnect_timeout)
-            return progress.next_revision - 1;
+            return store_position{.era = from.era, .revision = progress.next_revision - 1};
         m_runtime.sleep_for(backoff.next_delay());
     }
 }
@@ -500,16 +501,16 @@
     progress.received_anything = true;
     m_highest_revision = std::max(m_highest_revision, message.revision);
     std::erase_if(message.events, [&](const store_event& event) {
-        return event.mod_revision < progress.next_revision || !event.key.starts_with(prefix);
+        return event.position.revision < progress.next_revision || !event.key.starts_with(prefix);
     });
     if (message.events.empty())
         return boost::outcome_v2::success();
     const auto is_older = [](const store_event& left, const store_event& right) {
-        return left.mod_revision < right.mod_revision;
+        return left.position < right.position;
     };
     if (!std::is_sorted(message.events.begin(), message.events.end(), is_older))
         return failure(error_code::protocol_violation, "the store sent watch events out of order");
-    progress.next_revision = message.events.back().mod_revision + 1;
+    progress.next_revision = message.events.back().position.revision + 1;
     progress.ended_by_callback = !on_events(message.events);
     return boost::outcome_v2::success();
 }
@@ -603,9 +604,9 @@
     return m_client->call(call_kind::read, "/v3/lease/keepalive", etcd::lease_keepalive_request(lease), read);
 }
 
-result<std::int64_t> etcd_store::watch_prefix(const std::string& prefix, std::int64_t from_revision,
-                                              const std::function<bool(const std::vector<store_event>&)>& on_events) {
-    return m_client->watch(prefix, from_revision, on_events);
+result<store_position> etcd_store::watch_prefix(const std::string& prefix, store_position from,
+                                                const std::function<bool(const std::vector<store_event>&)>& on_events) {
+    return m_client->watch(prefix, from, on_events);
 }
 
 } // namespace ragworthinge
--- a/src/libraries/store/etcd_store.h
+++ b/src/libraries/store/etcd_store.h
@@ -64,8 +64,8 @@
     result<store_transaction_result> commit(const store_transaction& transaction) override;
     result<std::int64_t> grant_lease(std::chrono::seconds ttl) override;
     result<std::chrono::seconds> keep_lease_alive(std::int64_t lease) override;
-    result<std::int64_t> watch_prefix(const std::string& prefix, std::int64_t from_revision,
-                                      const std::function<bool(const std::vector<store_event>&)>& on_events) override;
+    result<store_position> watch_prefix(const std::string& prefix, store_position from,
+                                        const std::function<bool(const std::vector<store_event>&)>& on_events) override;
 
     /// Closes all connections; calls in progress and later calls fail.
     void close();
--- a/src/libraries/store/platform_store.h
+++ b/src/libraries/store/platform_store.h
@@ -2,6 +2,7 @@
 
 #include "base/identifiers.h"
 #include "base/result.h"
+#include "base/store_position.h"
 #include "base/time.h"
 
 #include <cstdint>
@@ -12,7 +13,8 @@
 
 namespace ragworthinge {
 
-/// A stored key and value with the revisions needed for compare-and-swap.
+/// A stored key and value with the revisions needed for compare-and-swap. They belong to the era of the response that
+/// brought them.
 struct store_entry {
     std::string key;
     std::string value;
@@ -20,7 +22,8 @@
     std::int64_t mod_revision = 0;    ///< Store revision at which the key was last changed.
 };
 
-/// Condition of a transaction: the key was last changed at `mod_revision`, or does not exist if that is zero.
+/// Condition of a transaction: the key was last changed at `mod_revision`, or does not exist if that is zero. The store
+/// compares it for equality with the key's revision in the era in which it executes the transaction.
 struct store_compare {
     std::string key;
     std::int64_t mod_revision = 0;
@@ -45,21 +48,21 @@
 /// Result of a transaction to which the store responded.
 struct store_transaction_result {
     bool succeeded = false;
-    std::int64_t revision = 0;        ///< Store revision after the transaction.
+    store_position position;          ///< Place of the transaction in the store's history.
     std::vector<store_entry> entries; ///< Results of the get operations that ran; absent keys are omitted.
 };
 
 /// Result of a prefix read.
 struct store_range {
     std::vector<store_entry> entries;
-    std::int64_t revision = 0; ///< Store revision at which the keys were read.
+    store_position position; ///< Place in the store's history at which the keys were read.
 };
 
 /// One change reported by a watch; a removed key has no value.
 struct store_event {
     std::string key;
     std::optional<std::string> value;
-    std::int64_t mod_revision = 0;
+    store_position position;
 };
 
 /// The platform's key-value store. Calls block the calling fiber until the response or the deadline.
@@ -91,10 +94,11 @@
     /// Sets the time after which a watch without changes ends. Has no effect on stores that stream changes.
     virtual void set_watch_timeout(std::chrono::milliseconds /*time*/) {}
 
-    /// Delivers all changes below the prefix after `from_revision` until the callback returns false or the stream ends.
-    /// Returns the revision up to which events were delivered, or not_found if the revisions to watch were compacted.
-    virtual result<std::int64_t>
-    watch_prefix(const std::string& prefix, std::int64_t from_revision,
+    /// Delivers all changes below the prefix after `from` until the callback returns false or the stream ends. Returns
+    /// the position up to which events were delivered, or not_found if the history since `from` does not exist any
+    /// more: it was compacted, or the store has come back from a copy.
+    virtual result<store_position>
+    watch_prefix(const std::string& prefix, store_position from,
                  const std::function<bool(const std::vector<store_event>&)>& on_events) = 0;
 };
 
--- a/tests/end_to_end/platform_path_check.py
+++ b/tests/end_to_end/platform_path_check.py
@@ -33,7 +33,7 @@
 
 
 class entry_host:
-    def __init__(self, build, folder, name, store_port, output, bounds=None):
+    def __init__(self, build, folder, name, store_port, output, bounds=None, domains=("gulf-a",)):
         self.build, self.name, self.output = build, name, output
         self.callers, self.ready, self.lookups, self.peers, self.metrics = free_ports(5)
         self.settings = os.path.join(folder, name + ".json")
@@ -43,7 +43,7 @@
                                   "lookups": "127.0.0.1:%d" % self.lookups, "peers": "127.0.0.1:%d" % self.peers,
                                   "metrics": "127.0.0.1:%d" % self.metrics},
                        "store": "127.0.0.1:%d" % store_port,
-                       "failure_domains": [{"name": "gulf-a", "region": "gulf"}],
+                       "failure_domains": [{"name": domain, "region": "gulf"} for domain in domains],
                        "bounds": bounds or {}}, file)
         self.start()
 
@@ -71,9 +71,9 @@
         status, body = self.get(self.lookups, "/api/resolve?name=lots.example&region=gulf&zone=gulf-a")
         return set(json.loads(body)["addresses"]) if status == 200 else set()
 
-    def ask(self, request_id, key="good-key", path="/lots/1", method="GET"):
+    def ask(self, request_id, key="good-key", path="/lots/1", method="GET", object_name="17"):
         return self.get(self.callers, path, {
-            "Host": "lots.example", "Ragworthinge-Request-Id": request_id, "Ragworthinge-Affinity-Key": "17",
+            "Host": "lots.example", "Ragworthinge-Request-Id": request_id, "Ragworthinge-Affinity-Key": object_name,
             "Ragworthinge-Request-Deadline-Ms": "3000", "Api-Key": key}, method)
 
 
--- a/tests/gateway/codecs_test.cpp
+++ b/tests/gateway/codecs_test.cpp
@@ -20,7 +20,7 @@
     report.host = "host:1,";
     report.incarnation = 0x7fffffffffffffffULL;
     report.is_leaving = true;
-    report.store_revision = 412;
+    report.store_position = {.era = store_era{3}, .revision = 412};
     report.demands = {{"florist", 12.34}};
     report.loads = {{"i-1", 3}};
     report.new_objects = {{"i-1", 0xfedcba9876543210ULL}};
@@ -30,7 +30,7 @@
     CHECK(read.value().host == report.host);
     CHECK(read.value().incarnation == report.incarnation);
     CHECK(read.value().is_leaving);
-    CHECK(read.value().store_revision == 412);
+    CHECK(read.value().store_position == store_position{.era = store_era{3}, .revision = 412});
     CHECK(read.value().demands.at(0).requests_per_second == Approx(12.34));
     CHECK(read.value().loads.at(0).in_flight == 3);
     CHECK(read.value().new_objects.at(0).object == 0xfedcba9876543210ULL);
@@ -52,7 +52,8 @@
 TEST_CASE("a region report survives serialization") {
     region_report regional_report;
     regional_report.region = "gulf";
-    regional_report.hosts = {{"front-1", 77, true, 412, std::chrono::milliseconds(350)}};
+    regional_report.hosts = {
+        {"front-1", 77, true, {.era = store_era{3}, .revision = 412}, std::chrono::milliseconds(350)}};
     regional_report.demands = {{"florist", 12.34}};
     regional_report.loads = {{"i-1", 3}};
     regional_report.new_objects = {{"i-1", 0xfedcba9876543210ULL}};
@@ -65,7 +66,7 @@
     CHECK(read.value().hosts[0].name == "front-1");
     CHECK(read.value().hosts[0].incarnation == 77);
     CHECK(read.value().hosts[0].is_leaving);
-    CHECK(read.value().hosts[0].store_revision == 412);
+    CHECK(read.value().hosts[0].store_position == store_position{.era = store_era{3}, .revision = 412});
     CHECK(read.value().hosts[0].age == std::chrono::milliseconds(350));
     CHECK(read.value().demands.at(0).requests_per_second == Approx(12.34));
     CHECK(read.value().loads.at(0).in_flight == 3);
@@ -97,10 +98,11 @@
     region_update update;
     update.reporter = "front-2";
     update.reporter_incarnation = 9;
-    update.store_revision = 400;
+    update.store_position = {.era = store_era{3}, .revision = 400};
     update.follows_store = true;
     update.counts_requester = true;
-    update.changes = {{"up/one", "any: bytes, 3:", 399}, {"up/two", std::nullopt, 400}};
+    update.changes = {{"up/one", "any: bytes, 3:", {.era = store_era{3}, .revision = 399}},
+                      {"up/two", std::nullopt, {.era = store_era{3}, .revision = 400}}};
     update.timed_out = {"front-3"};
     update.leaving = {"front-4", "front-5"};
     update.demands = {{"florist", {12.34, 0.25}}};
@@ -113,13 +115,13 @@
     REQUIRE(read);
     CHECK(read.value().reporter == "front-2");
     CHECK(read.value().reporter_incarnation == 9);
-    CHECK(read.value().store_revision == 400);
+    CHECK(read.value().store_position == update.store_position);
     CHECK(read.value().follows_store);
     CHECK(read.value().counts_requester);
     REQUIRE(read.value().changes);
     CHECK(read.value().changes->at(0).value == "any: bytes, 3:");
     CHECK_FALSE(read.value().changes->at(1).value);
-    CHECK(read.value().changes->at(1).revision == 400);
+    CHECK(read.value().changes->at(1).position == update.store_position);
     CHECK(read.value().timed_out == update.timed_out);
     CHECK(read.value().leaving == update.leaving);
     CHECK(read.value().demands.at(0).second.others == Approx(12.34));
--- a/tests/gateway/fleet_synchronizer_test.cpp
+++ b/tests/gateway/fleet_synchronizer_test.cpp
@@ -201,14 +201,14 @@
         host.synchronizer.start();
         host.wait();
         host.store.faults.down = true;
-        std::vector<std::int64_t> requested_revisions;
-        host.synchronizer.on_peer_snapshot_request([&](std::int64_t revision) {
-            requested_revisions.push_back(revision);
+        std::vector<store_position> requested_positions;
+        host.synchronizer.on_peer_snapshot_request([&](store_position known) {
+            requested_positions.push_back(known);
             return snapshot;
         });
         host.wait(150ms);
-        REQUIRE_FALSE(requested_revisions.empty());
-        CHECK(requested_revisions.front() == 2);
+        REQUIRE_FALSE(requested_positions.empty());
+        CHECK(requested_positions.front() == host.store.position());
         CHECK(host.version() == 9);
         CHECK(host.fleet.find_upstream("one") == nullptr);
         CHECK(host.fleet.find_upstream("two") != nullptr);
@@ -230,13 +230,13 @@
         host.store.put("up/one", "ready 5");
         host.wait();
         CHECK(host.fleet.find_upstream("one")->description().is_draining);
-        CHECK(host.synchronizer.revision() == host.store.revision());
+        CHECK(host.synchronizer.position() == host.store.position());
         snapshot = host.synchronizer.snapshot();
     });
     synchronizer_fixture other;
     other.run([&] {
         other.store.faults.down = true;
-        other.synchronizer.on_peer_snapshot_request([&](std::int64_t) { return snapshot; });
+        other.synchronizer.on_peer_snapshot_request([&](store_position) { return snapshot; });
         other.synchronizer.start();
         other.wait(150ms);
         REQUIRE(other.fleet.find_upstream("one") != nullptr);
@@ -244,6 +244,145 @@
     });
 }
 
+// Guards against keys that stay valid after they were taken away: the host dropped the configuration as older than one
+// from before the store came back from a copy, because its revision was lower.
+TEST_CASE("a configuration that is written after the store came back from a copy takes effect") {
+    synchronizer_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.synchronizer.start();
+        host.wait();
+        const auto copy = host.store.copy();
+        for (int version = 4; version < 10; ++version)
+            host.store.put("config", std::to_string(version));
+        host.wait();
+        REQUIRE(host.version() == 9);
+        const store_position known = host.synchronizer.position();
+        host.store.come_back_from(copy);
+
+        SECTION("at a lower revision than the known one") {
+            host.store.put("config", "12");
+            REQUIRE(host.store.revision() < known.revision);
+        }
+        SECTION("at a revision that was given out before") {
+            while (host.store.revision() < known.revision)
+                host.store.put("config", "12");
+        }
+        SECTION("behind a revision that was given out before") {
+            host.store.put("config", "12");
+            while (host.store.revision() < known.revision + 3)
+                host.store.put("up/one", "ready " + std::to_string(host.store.revision()));
+        }
+        host.wait();
+        CHECK(host.version() == 12);
+        CHECK(host.synchronizer.position() == host.store.position());
+        host.store.put("config", "13");
+        host.wait();
+        CHECK(host.version() == 13);
+    });
+}
+
+// Guards against drains, removals and evacuations that have no effect after the store came back from a copy.
+TEST_CASE("drains, removals and evacuations take effect after the store came back from a copy") {
+    synchronizer_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.store.put("up/one", "ready 1");
+        host.store.put("up/two", "ready 1");
+        host.store.put("drain/gulf-b", "{}");
+        host.synchronizer.start();
+        host.wait();
+        const auto copy = host.store.copy();
+        for (int sequence = 2; sequence < 9; ++sequence) {
+            host.store.put("up/one", "ready " + std::to_string(sequence));
+            host.store.put("up/two", "ready " + std::to_string(sequence));
+        }
+        host.wait();
+        host.store.come_back_from(copy);
+        host.wait();
+        host.store.put("up/one", "drains 9");
+        host.store.remove("up/two");
+        host.store.put("drain/gulf-a", "{}");
+        host.store.remove("drain/gulf-b");
+        host.wait();
+        CHECK(host.fleet.find_upstream("one")->description().is_draining);
+        CHECK((host.fleet.find_upstream("two") == nullptr || host.fleet.find_upstream("two")->is_lapsed()));
+        CHECK(host.fleet.is_evacuated("gulf-a"));
+        CHECK_FALSE(host.fleet.is_evacuated("gulf-b"));
+    });
+}
+
+// Guards against requests to an evacuated failure domain, and against refusals for want of upstreams, in the time
+// before operators and upstreams have written again what the store's copy does not have.
+TEST_CASE("what the store's copy does not have stays in force until it can have been written again") {
+    synchronizer_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.store.put("up/one", "ready 1");
+        host.synchronizer.start();
+        host.wait();
+        const auto copy = host.store.copy();
+        host.store.put("config", "4");
+        host.store.put("up/one", "drains 2");
+        host.store.put("up/two", "ready 1");
+        host.store.put("up/three", "ready 1");
+        host.store.put("drain/gulf-a", "{}");
+        host.store.put("drain/gulf-b", "{}");
+        host.wait();
+        host.store.come_back_from(copy);
+        host.wait(1000ms);
+        CHECK(host.version() == 4);
+        CHECK(host.fleet.find_upstream("one")->description().is_draining);
+        CHECK(host.fleet.find_upstream("two") != nullptr);
+        CHECK(host.fleet.is_evacuated("gulf-a"));
+        host.store.put("up/two", "ready 2");
+        host.store.put("drain/gulf-a", "{}");
+        host.wait(1300ms);
+        CHECK(host.fleet.find_upstream("two") != nullptr);
+        CHECK(host.fleet.find_upstream("three") == nullptr);
+        CHECK(host.fleet.is_evacuated("gulf-a"));
+        CHECK_FALSE(host.fleet.is_evacuated("gulf-b"));
+    });
+}
+
+// Guards against a host that cannot reach the store and keeps the state from before it came back from a copy, because
+// the peers that have read it since know a lower revision.
+TEST_CASE("a peer's snapshot from after the store came back replaces entries of higher revisions") {
+    synchronizer_fixture other;
+    std::string early;
+    std::string late;
+    other.run([&] {
+        other.store.put("config", "3");
+        const auto copy = other.store.copy();
+        for (int version = 4; version < 10; ++version)
+            other.store.put("config", std::to_string(version));
+        other.synchronizer.start();
+        other.wait();
+        early = other.synchronizer.snapshot();
+        other.store.come_back_from(copy);
+        other.store.put("config", "12");
+        other.wait();
+        late = other.synchronizer.snapshot();
+    });
+    synchronizer_fixture host;
+    host.run([&] {
+        host.store.faults.down = true;
+        std::string snapshot = early;
+        host.synchronizer.on_peer_snapshot_request([&](store_position) { return snapshot; });
+        host.synchronizer.start();
+        host.wait(150ms);
+        REQUIRE(host.version() == 9);
+        snapshot = late;
+        host.wait(150ms);
+        CHECK(host.version() == 12);
+        // A snapshot of a host that has not learned of the return changes nothing.
+        snapshot = early;
+        host.wait(150ms);
+        CHECK(host.version() == 12);
+        CHECK(host.synchronizer.position().era == store_era{2});
+    });
+}
+
 // Guards against a corrupt snapshot from a peer that replaces the known entries.
 TEST_CASE("a corrupt snapshot changes nothing") {
     synchronizer_fixture host;
@@ -253,7 +392,7 @@
         host.synchronizer.start();
         host.wait();
         host.store.faults.down = true;
-        host.synchronizer.on_peer_snapshot_request([](std::int64_t) { return "1:1,3:999,1:9,2:up"; });
+        host.synchronizer.on_peer_snapshot_request([](store_position) { return "1:1,3:999,1:9,2:up"; });
         host.wait(150ms);
         CHECK(host.version() == 3);
         CHECK(host.fleet.upstreams().size() == 1);
@@ -290,17 +429,17 @@
         };
     }
 
-    region_update make_region_update(std::int64_t known) const {
+    region_update make_region_update(store_position known) const {
         region_update update;
         update.reporter = "reporter";
-        update.store_revision = synchronizer.revision();
+        update.store_position = synchronizer.position();
         update.follows_store = synchronizer.follows_store(boot_time_now());
         update.changes = synchronizer.changes_since(known);
         return update;
     }
 
     void pass_region_update() {
-        requester.apply_region_update(make_region_update(requester.revision()), boot_time_now());
+        requester.apply_region_update(make_region_update(requester.position()), boot_time_now());
     }
 
     void pass_region_updates(duration time) {
@@ -339,7 +478,7 @@
         CHECK(host.requester_fleet.table()->configuration().version == 4);
         CHECK(host.requester_fleet.find_upstream("two") != nullptr);
         CHECK(host.requester_fleet.find_upstream("one") == nullptr);
-        CHECK(host.requester.revision() == host.synchronizer.revision());
+        CHECK(host.requester.position() == host.synchronizer.position());
         // The reporter polls every 200 ms or at a change; a host on its own would have polled 20 times.
         CHECK(host.watches - before <= 6);
     });
@@ -361,7 +500,7 @@
             CHECK(host.requester_fleet.table()->configuration().version == 5);
         }
         SECTION("no contact to the store") {
-            region_update update = host.make_region_update(host.requester.revision());
+            region_update update = host.make_region_update(host.requester.position());
             host.store.put("config", "5");
             update.follows_store = false;
             host.requester.apply_region_update(update, boot_time_now());
@@ -369,12 +508,12 @@
             CHECK(host.requester_fleet.table()->configuration().version == 5);
         }
         SECTION("without the changes") {
-            region_update update = host.make_region_update(host.requester.revision());
+            region_update update = host.make_region_update(host.requester.position());
             host.store.put("config", "5");
-            update.store_revision += 1;
+            update.store_position.revision += 1;
             update.changes.reset();
             host.requester.apply_region_update(update, boot_time_now());
-            CHECK(host.requester.revision() < update.store_revision);
+            CHECK(host.requester.position() < update.store_position);
             host.wait(40ms);
             CHECK(host.requester_fleet.table()->configuration().version == 5);
         }
@@ -389,7 +528,7 @@
         host.synchronizer.start();
         host.requester.start();
         host.wait();
-        const std::int64_t known = host.requester.revision();
+        const store_position known = host.requester.position();
         host.store.put("up/one", "x");
         host.wait(250ms);
         const region_update old = host.make_region_update(known);
@@ -398,10 +537,10 @@
         host.store.remove("up/one");
         host.wait(250ms);
         REQUIRE(host.requester_fleet.upstreams().empty());
-        const std::int64_t revision = host.requester.revision();
+        const store_position position = host.requester.position();
         host.requester.apply_region_update(old, boot_time_now());
         CHECK(host.requester_fleet.upstreams().empty());
-        CHECK(host.requester.revision() == revision);
+        CHECK(host.requester.position() == position);
     });
 }
 
@@ -412,11 +551,11 @@
         host.store.put("config", "3");
         host.synchronizer.start();
         host.wait();
-        const std::int64_t known = host.synchronizer.revision();
+        const store_position known = host.synchronizer.position();
         host.store.put("up/one", std::string(70'000, 'x'));
         host.wait(250ms);
         CHECK_FALSE(host.synchronizer.changes_since(known));
-        const std::int64_t later = host.synchronizer.revision();
+        const store_position later = host.synchronizer.position();
         host.store.put("up/two", "x");
         host.wait(250ms);
         CHECK(host.synchronizer.changes_since(later)->size() == 1);
@@ -449,3 +588,45 @@
         CHECK_FALSE(host.synchronizer.follows_store(boot_time_now()));
     });
 }
+
+// Guards against hosts that follow a reporter into the state from before the store came back from a copy, or miss what
+// was written since because the reporter's changes start at a revision that they know.
+TEST_CASE("a host polls the store itself when its reporter is in another era") {
+    region_update_fixture host;
+    host.run([&] {
+        host.store.put("config", "3");
+        host.synchronizer.start();
+        host.requester.start();
+        host.wait();
+        const auto copy = host.store.copy();
+        for (int version = 4; version < 10; ++version)
+            host.store.put("config", std::to_string(version));
+        host.wait(250ms);
+        host.pass_region_update();
+        REQUIRE(host.requester_fleet.table()->configuration().version == 9);
+        const region_update early = host.make_region_update(host.requester.position());
+        host.store.come_back_from(copy);
+        host.store.put("config", "12");
+
+        SECTION("the reporter has read the new era") {
+            host.wait(250ms);
+            host.pass_region_update();
+            host.wait(60ms);
+            CHECK(host.requester_fleet.table()->configuration().version == 12);
+        }
+        SECTION("the reporter is still in the earlier era") {
+            const time_point end = boot_time_now() + 300ms;
+            while (boot_time_now() < end) {
+                host.requester.apply_region_update(early, boot_time_now());
+                host.wait(20ms);
+            }
+            // Until then the update counts as contact to the store.
+            host.wait(150ms);
+            REQUIRE(host.requester.position().era == store_era{2});
+            host.store.put("config", "13");
+            host.requester.apply_region_update(early, boot_time_now());
+            host.wait(60ms);
+            CHECK(host.requester_fleet.table()->configuration().version == 13);
+        }
+    });
+}
--- a/tests/gateway/host_registration_test.cpp
+++ b/tests/gateway/host_registration_test.cpp
@@ -43,9 +43,10 @@
     result<std::chrono::seconds> keep_lease_alive(std::int64_t lease) override {
         return m_store.keep_lease_alive(lease);
     }
-    result<std::int64_t> watch_prefix(const std::string& prefix, std::int64_t from_revision,
-                                      const std::function<bool(const std::vector<store_event>&)>& on_events) override {
-        return m_store.watch_prefix(prefix, from_revision, on_events);
+    result<store_position>
+    watch_prefix(const std::string& prefix, store_position from,
+                 const std::function<bool(const std::vector<store_event>&)>& on_events) override {
+        return m_store.watch_prefix(prefix, from, on_events);
     }
 
 private:
@@ -135,7 +136,7 @@
     host.run([&] {
         host_registration& registration = host.start(1);
         host.state.remove(host_record_key("front"));
-        registration.compare_with_store({}, host.state.revision());
+        registration.compare_with_store({}, host.state.position());
         host.runtime.sleep_for(30ms);
         CHECK(host.stored_incarnation() == 1);
     });
@@ -147,7 +148,7 @@
     host.run([&] {
         host_registration& registration = host.start(1);
         host.state.put(host_record_key("front"), write_host_record(make_host("front", 7)));
-        registration.compare_with_store({{"front", make_host("front", 7)}}, host.state.revision());
+        registration.compare_with_store({{"front", make_host("front", 7)}}, host.state.position());
         host.runtime.sleep_for(30ms);
         CHECK(host.stored_incarnation() == 7);
         registration.withdraw();
@@ -155,14 +156,29 @@
     });
 }
 
+// Guards against a host that stays unknown because its record was written at a higher revision than the store has given
+// out since it came back from a copy.
+TEST_CASE("a host whose record is not in the store's copy registers again") {
+    registration_fixture host;
+    host.run([&] {
+        const auto copy = host.state.copy();
+        host_registration& registration = host.start(1);
+        REQUIRE(host.stored_incarnation() == 1);
+        host.state.come_back_from(copy);
+        registration.compare_with_store({}, host.state.position());
+        host.runtime.sleep_for(40ms);
+        CHECK(host.stored_incarnation() == 1);
+    });
+}
+
 TEST_CASE("a record that a view of the store does not contain yet is not written again") {
     registration_fixture host;
     host.run([&] {
         host_registration& registration = host.start(1);
-        const std::int64_t written_at = host.state.revision();
-        registration.compare_with_store({}, written_at - 1);
+        const store_position written_at = host.state.position();
+        registration.compare_with_store({}, {.era = written_at.era, .revision = written_at.revision - 1});
         host.runtime.sleep_for(30ms);
-        CHECK(host.state.revision() == written_at);
+        CHECK(host.state.position() == written_at);
     });
 }
 
--- a/tests/operators/scripted_store.h
+++ b/tests/operators/scripted_store.h
@@ -79,8 +79,8 @@
 
     result<std::int64_t> grant_lease(std::chrono::seconds) override { return unsupported(); }
     result<std::chrono::seconds> keep_lease_alive(std::int64_t) override { return unsupported(); }
-    result<std::int64_t> watch_prefix(const std::string&, std::int64_t,
-                                      const std::function<bool(const std::vector<store_event>&)>&) override {
+    result<store_position> watch_prefix(const std::string&, store_position,
+                                        const std::function<bool(const std::vector<store_event>&)>&) override {
         return unsupported();
     }
 
@@ -99,7 +99,7 @@
     }
 
     store_transaction_result apply(const store_transaction& transaction) {
-        store_transaction_result transaction_result{true, m_state.revision, {}};
+        store_transaction_result transaction_result{true, {.revision = m_state.revision}, {}};
         for (const auto& compare : transaction.compares) {
             const auto found = m_state.entries.find(compare.key);
             const auto mod_revision = found == m_state.entries.end() ? 0 : found->second.mod_revision;
@@ -111,7 +111,7 @@
             wrote = apply_operation(operation, transaction_result) || wrote;
         if (wrote) {
             m_state.entries_before = before;
-            transaction_result.revision = ++m_state.revision;
+            transaction_result.position.revision = ++m_state.revision;
         }
         return transaction_result;
     }
--- a/tests/requests/fake_transaction_store.h
+++ b/tests/requests/fake_transaction_store.h
@@ -17,10 +17,10 @@
             holds = holds && (found == m_entries.end() ? 0 : found->second.mod_revision) == compare.mod_revision;
         }
 
-        store_transaction_result outcome{holds, m_revision, {}};
+        store_transaction_result outcome{holds, {.revision = m_revision}, {}};
         for (const store_operation& operation : holds ? transaction.success : transaction.failure)
             run(operation, outcome);
-        m_revision = outcome.revision;
+        m_revision = outcome.position.revision;
         return outcome;
     }
 
@@ -39,13 +39,14 @@
                 outcome.entries.push_back(found->second);
             return;
         }
-        outcome.revision = m_revision + 1;
+        outcome.position.revision = m_revision + 1;
         if (operation.type == store_operation::kind::remove) {
             m_entries.erase(operation.key);
             return;
         }
-        const std::int64_t created = found == m_entries.end() ? outcome.revision : found->second.create_revision;
-        m_entries[operation.key] = {operation.key, operation.value, created, outcome.revision};
+        const std::int64_t created =
+            found == m_entries.end() ? outcome.position.revision : found->second.create_revision;
+        m_entries[operation.key] = {operation.key, operation.value, created, outcome.position.revision};
     }
 
     std::map<std::string, store_entry> m_entries;
--- a/tests/standins/platform_standin.py
+++ b/tests/standins/platform_standin.py
@@ -37,7 +37,8 @@
 
 
 class kv_standin:
-    """Keys with revisions, leases and a history that can be watched. `is_down` refuses all calls."""
+    """Keys with revisions, leases and a history that can be watched. `is_down` refuses all calls, `is_silent` answers
+    none. `come_back_from` a copy loses what was written since, gives revisions out again and begins a new era."""
 
     def __init__(self):
         self.lock = threading.Condition()
@@ -45,7 +46,10 @@
         self.history = []
         self.leases = {}
         self.revision = 1
+        self.era = 1
+        self.next_lease = 1000
         self.is_down = False
+        self.is_silent = False
         self.calls = 0
         store = self
 
@@ -68,6 +72,19 @@
         with self.lock:
             self._remove(key)
 
+    def copy(self):
+        with self.lock:
+            return {"items": dict(self.items), "history": list(self.history), "leases": dict(self.leases),
+                    "revision": self.revision}
+
+    def come_back_from(self, copy):
+        with self.lock:
+            self.items, self.history, self.leases = dict(copy["items"]), list(copy["history"]), dict(copy["leases"])
+            self.revision = copy["revision"]
+            self.era += 1
+            self.is_silent = False
+            self.lock.notify_all()
+
     def _put(self, key, raw, lease):
         self.revision += 1
         created = self.items[key]["createRevision"] if key in self.items else self.revision
@@ -94,6 +111,9 @@
         with self.lock:
             self.calls += 1
             self._expire()
+            if self.is_silent:
+                call.close_connection = True
+                return
             if self.is_down:
                 return call.reply(503)
         url = urllib.parse.urlsplit(call.path)
@@ -102,13 +122,20 @@
             return self._watch(call, query)
         with self.lock:
             status, answer = self._answer(method, url.path, query, json.loads(body) if body else {})
-        call.reply(status, answer)
+            era = self.era
+        call.reply(status, answer, [("Store-Era", str(era))])
 
     def _watch(self, call, query):
         end = time.monotonic() + int(query["waitMs"]) / 1000
         with self.lock:
+            era = self.era
+            if int(query["after"]) > self.revision:
+                return call.reply(410, None, [("Store-Era", str(era))])
             while True:
                 self._expire()
+                if self.is_silent or era != self.era:  # A watch that waits is cut.
+                    call.close_connection = True
+                    return
                 events = [event for event in self.history
                           if event["rev"] > int(query["after"]) and event["key"].startswith(query["prefix"])]
                 left = end - time.monotonic()
@@ -116,7 +143,7 @@
                     break
                 self.lock.wait(left)
             revision = self.revision
-        call.reply(503 if self.is_down else 200, {"events": events, "at": revision})
+        call.reply(503 if self.is_down else 200, {"events": events, "at": revision}, [("Store-Era", str(era))])
 
     def _answer(self, method, path, query, body):
         if path == "/api/kv-key":
@@ -126,7 +153,8 @@
             items = [item for key, item in sorted(self.items.items()) if key.startswith(query["prefix"])]
             return 200, {"items": items, "truncated": False, "at": self.revision}
         if path == "/api/kv-lease":
-            lease = len(self.leases) + self.revision * 1000
+            self.next_lease += 1
+            lease = self.next_lease
             self.leases[lease] = (body["ttlMs"], time.monotonic() + body["ttlMs"] / 1000)
             return 200, {"lease": lease, "ttlMs": body["ttlMs"]}
         if path.startswith("/api/kv-keep/"):
@@ -140,6 +168,8 @@
             for wanted in body["expect"]:
                 if self.items.get(wanted["key"], {"rev": 0})["rev"] != wanted["rev"]:
                     return 412, {"items": []}
+            if any(put.get("lease", 0) and put["lease"] not in self.leases for put in body["puts"]):
+                return 404, None
             for put in body["puts"]:
                 self._put(put["key"], base64.b64decode(put["value"]), put.get("lease", 0))
             for key in body["deletes"]:
--- a/tests/standins/standin_server.cpp
+++ b/tests/standins/standin_server.cpp
@@ -141,11 +141,13 @@
 }
 
 bool write_json(standin_server::socket& connection, const standin_server::request& request, unsigned status,
-                std::string_view body) {
+                std::string_view body, std::string_view fields) {
     std::string answer = "HTTP/1.1 " + std::to_string(status) + " ";
     answer += std::string(http::obsolete_reason(http::int_to_status(status)));
     answer += "\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size());
-    answer += request.keep_alive() ? "\r\n\r\n" : "\r\nConnection: close\r\n\r\n";
+    answer += "\r\n";
+    answer += fields;
+    answer += request.keep_alive() ? "\r\n" : "Connection: close\r\n\r\n";
     answer += body;
     return write_all(connection, answer) && request.keep_alive();
 }
--- a/tests/standins/standin_server.h
+++ b/tests/standins/standin_server.h
@@ -65,8 +65,9 @@
 /// Writes all bytes; false if the connection broke.
 bool write_all(standin_server::socket& connection, std::string_view bytes);
 
-/// Writes a complete answer with a Content-Length; false if the connection broke or is to be closed.
+/// Writes a complete answer with a Content-Length; false if the connection broke or is to be closed. `fields` are
+/// further header lines, each with its line end.
 bool write_json(standin_server::socket& connection, const standin_server::request& request, unsigned status,
-                std::string_view body);
+                std::string_view body, std::string_view fields = {});
 
 } // namespace ragworthinge::standins
--- a/tests/steering/account_limiter_test.cpp
+++ b/tests/steering/account_limiter_test.cpp
@@ -102,7 +102,7 @@
         }
         for (auto& each : m_hosts) {
             for (auto& other : m_hosts)
-                each->membership.announce(make_host(other->name, run - 1, other->region), m_now, 1);
+                each->membership.announce(make_host(other->name, run - 1, other->region), m_now, {.revision = 1});
         }
         m_entries_at = m_now + lag;
     }
@@ -116,7 +116,8 @@
                 m_entries_at.reset();
                 for (auto& each : m_hosts) {
                     for (auto& other : m_hosts)
-                        each->membership.announce(make_host(other->name, other->run, other->region), m_now, 2);
+                        each->membership.announce(make_host(other->name, other->run, other->region), m_now,
+                                                  {.revision = 2});
                 }
             }
             exchange_reports();
@@ -246,7 +247,7 @@
             request.report = report;
             region_update update =
                 reporter->builder.make_update(request, reporter->last_report, is_reporter(*reporter), m_now);
-            update.store_revision = m_entries_at ? 1 : 2;
+            update.store_position.revision = m_entries_at ? 1 : 2;
             sender.membership.record_region_update(std::move(update), m_now, m_now);
             return;
         }
--- a/tests/steering/fleet_membership_test.cpp
+++ b/tests/steering/fleet_membership_test.cpp
@@ -100,7 +100,7 @@
 region_report region_report_of(const std::string& host, std::chrono::milliseconds age = 0ms) {
     region_report aggregate;
     aggregate.region = "delta";
-    aggregate.hosts = {{host, 1, false, 40, age}};
+    aggregate.hosts = {{host, 1, false, {.revision = 40}, age}};
     aggregate.demands = {{"florist", 5}};
     aggregate.loads = {{"i-1", 2}};
     return aggregate;
@@ -117,8 +117,8 @@
     CHECK(fleet.is_live("d", test_start + 3s));
     CHECK(fleet.live_peers(test_start + 3s) == 1);
     CHECK(names_for(fleet, "delta", test_start + 5s) == std::vector<std::string>{"d"});
-    CHECK(fleet.best_informed_peer(39, test_start + 3s) == host_id("d"));
-    CHECK_FALSE(fleet.best_informed_peer(40, test_start + 3s));
+    CHECK(fleet.best_informed_peer({.revision = 39}, test_start + 3s) == host_id("d"));
+    CHECK_FALSE(fleet.best_informed_peer({.revision = 40}, test_start + 3s));
     // The age counts from the host report that the reporter had, not from the region report.
     CHECK(fleet.is_live("d", test_start + 5399ms));
     CHECK_FALSE(fleet.is_live("d", test_start + 5400ms));
@@ -314,3 +314,39 @@
     alike.announce(make_host("a"), test_start);
     CHECK(alike.room_share(test_start) == Approx(0.5));
 }
+
+// Guards against a host that takes the state from before the store came back from a copy, because the peer that knows
+// it reports the higher revision.
+TEST_CASE("a peer that has read a later era of the store is better informed than one at a higher revision") {
+    fleet_membership fleet = make_membership("a");
+    for (const std::string name : {"b", "c"})
+        fleet.announce(make_host(name), test_start);
+    host_report early = report_of("b");
+    early.store_position = {.era = store_era{1}, .revision = 500};
+    host_report late = report_of("c");
+    late.store_position = {.era = store_era{2}, .revision = 40};
+    fleet.record_report(early, test_start);
+    fleet.record_report(late, test_start);
+    CHECK(fleet.best_informed_peer({.era = store_era{1}, .revision = 400}, test_start) == host_id("c"));
+    CHECK_FALSE(fleet.best_informed_peer({.era = store_era{2}, .revision = 40}, test_start));
+}
+
+// Guards against live hosts that are taken for dead because their reporter has not noticed that the store came back
+// from a copy.
+TEST_CASE("a reporter that is in an earlier era of the store still tells of hosts with an unchanged record") {
+    fleet_membership fleet = make_membership("a");
+    for (const std::string name : {"b", "c"})
+        fleet.announce(make_host(name), test_start, {.era = store_era{1}, .revision = 10});
+    for (const std::string name : {"b", "c"})
+        fleet.announce(make_host(name), test_start + 1s, {.era = store_era{2}, .revision = 10});
+    region_update update;
+    update.reporter = "b";
+    update.store_position = {.era = store_era{1}, .revision = 50};
+    fleet.record_region_update(update, test_start + 3s, test_start + 3s);
+    CHECK(fleet.is_live("c", test_start + 3s));
+
+    // The reporter cannot know a host that has registered since.
+    fleet.announce(make_host("d"), test_start + 3s, {.era = store_era{2}, .revision = 20});
+    fleet.record_region_update(update, test_start + 4s, test_start + 4s);
+    CHECK_FALSE(fleet.is_live("d", test_start + 4s));
+}
--- a/tests/store/etcd_store_test.cpp
+++ b/tests/store/etcd_store_test.cpp
@@ -106,10 +106,10 @@
         CHECK_FALSE(lost.value().succeeded);
         REQUIRE(lost.value().entries.size() == 1);
         CHECK(lost.value().entries[0].value == value);
-        CHECK(lost.value().entries[0].mod_revision == won.value().revision);
-        CHECK(store->commit(put_if(key, won.value().revision, "next")).value().succeeded);
+        CHECK(lost.value().entries[0].mod_revision == won.value().position.revision);
+        CHECK(store->commit(put_if(key, won.value().position.revision, "next")).value().succeeded);
         // This is the revision at which the key was created, but the key has changed since.
-        CHECK_FALSE(store->commit(put_if(key, won.value().revision, "outdated")).value().succeeded);
+        CHECK_FALSE(store->commit(put_if(key, won.value().position.revision, "outdated")).value().succeeded);
         CHECK(store->get(key).value()->value == "next");
         CHECK_FALSE(store->get("claims/").value().has_value());
         put_directly("claimt", "outside");
@@ -245,12 +245,13 @@
         std::vector<std::int64_t> seen;
         bool done = false;
         boost::fibers::fiber watcher([&] {
-            const auto ended = store->watch_prefix("w/", first, [&](const std::vector<store_event>& events) {
-                for (const store_event& event : events)
-                    seen.push_back(event.mod_revision);
-                return seen.size() < changes;
-            });
-            CHECK((ended && ended.value() == first + changes));
+            const auto ended = store->watch_prefix("w/", store_position{.revision = first},
+                                                   [&](const std::vector<store_event>& events) {
+                                                       for (const store_event& event : events)
+                                                           seen.push_back(event.position.revision);
+                                                       return seen.size() < changes;
+                                                   });
+            CHECK((ended && ended.value() == store_position{.revision = first + changes}));
             done = true;
         });
         for (std::int64_t index = 0; index < changes; ++index) {
@@ -276,10 +277,11 @@
         bool delivered = false;
         bool done = false;
         boost::fibers::fiber watcher([&] {
-            const auto ended = store->watch_prefix("w/", 1, [&](const std::vector<store_event>& events) {
-                delivered = events.size() == 1 && events[0].value == "x";
-                return false;
-            });
+            const auto ended =
+                store->watch_prefix("w/", store_position{.revision = 1}, [&](const std::vector<store_event>& events) {
+                    delivered = events.size() == 1 && events[0].value == "x";
+                    return false;
+                });
             CHECK(ended);
             done = true;
         });
@@ -304,7 +306,8 @@
         REQUIRE(gateway.store().compact(5));
         bool done = false;
         boost::fibers::fiber watcher([&] {
-            CHECK(code_of(store->watch_prefix("w/", 2, [](const auto&) { return true; })) == error_code::not_found);
+            CHECK(code_of(store->watch_prefix("w/", store_position{.revision = 2}, [](const auto&) { return true; })) ==
+                  error_code::not_found);
             done = true;
         });
         join(watcher, done);
@@ -366,7 +369,7 @@
         runtime.sleep_for(30ms);
         bool done = false;
         boost::fibers::fiber watcher([&] {
-            (void)store->watch_prefix("w/", 1, [](const auto&) { return false; });
+            (void)store->watch_prefix("w/", store_position{.revision = 1}, [](const auto&) { return false; });
             done = true;
         });
         runtime.sleep_for(20ms);
--- a/tests/store/fake_store.cpp
+++ b/tests/store/fake_store.cpp
@@ -20,12 +20,19 @@
     return {key.key, key.value, key.create_revision, key.mod_revision};
 }
 
-store_event event_of(const stored_event& event) {
+} // namespace
+
+store_event fake_store::event_of(const stored_event& event) const {
     const bool removed = event.current.version == 0;
-    return {event.current.key, removed ? std::nullopt : std::optional(event.current.value), event.current.mod_revision};
+    return {event.current.key,
+            removed ? std::nullopt : std::optional(event.current.value),
+            {.era = m_era, .revision = event.current.mod_revision}};
 }
 
-} // namespace
+void fake_store::come_back_from(const standins::standin_store& copy) {
+    m_store = copy;
+    m_era = store_era{number_of(m_era) + 1};
+}
 
 void fake_store::run_hook(const hook& chosen, std::string_view call) {
     if (!chosen || m_in_hook)
@@ -109,7 +116,7 @@
     BOOST_OUTCOME_TRY(start_read("get_prefix"));
     const standins::standin_store& source = m_frozen_store ? *m_frozen_store : m_store;
     store_range range;
-    range.revision = source.revision();
+    range.position = {.era = m_era, .revision = source.revision()};
     for (const stored_key& key : source.range(interval_of(prefix)))
         range.entries.push_back(entry_of(key));
     run_hook(after_call, "get_prefix");
@@ -135,7 +142,7 @@
             outcome.entries.push_back(entry_of(key));
     }
     m_store.end_changes();
-    outcome.revision = m_store.revision();
+    outcome.position = position();
     return outcome;
 }
 
@@ -169,21 +176,23 @@
     return *remaining;
 }
 
-result<std::int64_t> fake_store::watch_prefix(const std::string& prefix, std::int64_t from_revision,
-                                              const std::function<bool(const std::vector<store_event>&)>& on_events) {
+result<store_position> fake_store::watch_prefix(const std::string& prefix, store_position from,
+                                                const std::function<bool(const std::vector<store_event>&)>& on_events) {
     BOOST_OUTCOME_TRY(start_read("watch_prefix"));
-    std::int64_t delivered = from_revision;
+    std::int64_t delivered = from.revision;
     for (;;) {
         if (delivered + 1 < m_store.compacted_revision())
             return failure(error_code::not_found, "the revisions to watch were compacted");
+        if (from.era != m_era)
+            return failure(error_code::not_found, "the store has come back from a copy");
         std::vector<store_event> events;
         for (const stored_event& event : m_store.events_from(delivered + 1, interval_of(prefix)))
             events.push_back(event_of(event));
         if (events.empty())
-            return std::max(delivered, m_store.revision());
-        delivered = events.back().mod_revision;
+            return store_position{.era = m_era, .revision = std::max(delivered, m_store.revision())};
+        delivered = events.back().position.revision;
         if (!on_events(events))
-            return delivered;
+            return events.back().position;
     }
 }
 
--- a/tests/store/fake_store.h
+++ b/tests/store/fake_store.h
@@ -39,6 +39,11 @@
     /// Discards the history before the current revision, so that watches from older revisions fail with not_found.
     void compact();
 
+    /// A copy of the store, and the return of the store with it: what was written since is lost, leases too, revisions
+    /// are given out again and a new era begins.
+    standins::standin_store copy() const { return m_store; }
+    void come_back_from(const standins::standin_store& copy);
+
     /// Ends all leases immediately, regardless of their remaining time, and removes their keys.
     void expire_leases_early() { m_store.expire_all_leases(); }
 
@@ -47,6 +52,7 @@
     void remove(const std::string& key);
     std::optional<std::string> value(const std::string& key) const;
     std::int64_t revision() const noexcept { return m_store.revision(); }
+    store_position position() const noexcept { return {.era = m_era, .revision = m_store.revision()}; }
 
     int calls() const noexcept { return m_calls; }
     int commits() const noexcept { return m_commits; }
@@ -57,8 +63,8 @@
     result<std::int64_t> grant_lease(std::chrono::seconds ttl) override;
     result<std::chrono::seconds> keep_lease_alive(std::int64_t lease) override;
     /// Delivers all changes so far, including those made by the callback, and returns without waiting for more.
-    result<std::int64_t> watch_prefix(const std::string& prefix, std::int64_t from_revision,
-                                      const std::function<bool(const std::vector<store_event>&)>& on_events) override;
+    result<store_position> watch_prefix(const std::string& prefix, store_position from,
+                                        const std::function<bool(const std::vector<store_event>&)>& on_events) override;
 
 private:
     result<void> start_read(std::string_view call);
@@ -67,7 +73,10 @@
     void run_hook(const hook& chosen, std::string_view call);
     store_transaction_result apply(const store_transaction& transaction);
 
+    store_event event_of(const standins::stored_event& event) const;
+
     standins::standin_store m_store;
+    store_era m_era{1};
     std::optional<standins::standin_store> m_frozen_store;
     int m_calls = 0;
     int m_commits = 0;
--- a/tests/store/fake_store_test.cpp
+++ b/tests/store/fake_store_test.cpp
@@ -48,9 +48,9 @@
 }
 
 // Guards against a watch that misses changes made during delivery, and against one that ignores compaction.
-TEST_CASE("a watch delivers all changes after a revision or fails if they were compacted") {
+TEST_CASE("a watch delivers all changes after a position or fails if they were compacted") {
     fake_store store;
-    const std::int64_t start = store.revision();
+    const store_position start = store.position();
     store.put("w/a", "1");
     store.put("x", "outside");
     std::vector<std::optional<std::string>> seen;
@@ -62,10 +62,10 @@
         return true;
     });
     CHECK(seen == std::vector<std::optional<std::string>>{"1", std::nullopt});
-    CHECK(ended.value() == store.revision());
+    CHECK(ended.value() == store.position());
     store.put("w/a", "2");
     store.compact();
     const auto compacted = store.watch_prefix("w/", start, [](const auto&) { return true; });
     CHECK(compacted.error().code == error_code::not_found);
-    CHECK(store.watch_prefix("w/", store.revision(), [](const auto&) { return true; }));
+    CHECK(store.watch_prefix("w/", store.position(), [](const auto&) { return true; }));
 }
--- a/tests/store/store_session_test.cpp
+++ b/tests/store/store_session_test.cpp
@@ -83,7 +83,7 @@
     REQUIRE(session.is_valid(now()));
     const store_operation act{store_operation::kind::put, "region/r/members", "fence", 0};
     const auto acted =
-        store.commit({.compares = {{put.key, elected.value().revision}}, .success = {act}, .failure = {}});
+        store.commit({.compares = {{put.key, elected.value().position.revision}}, .success = {act}, .failure = {}});
     CHECK_FALSE(acted.value().succeeded);
     CHECK(session.renew(now()).error().code == error_code::not_found);
 }
