Test a host's state behind random returns of the store from a copy

60 random histories of 40 steps each, with changes, copies, outages and returns: the host's state ends as that of the store, and its configuration never goes back.

--- a/tests/gateway/fleet_synchronizer_test.cpp
+++ b/tests/gateway/fleet_synchronizer_test.cpp
@@ -3,6 +3,7 @@
 #include "base/boot_clock.h"
 #include "gateway/host_record.h"
 #include "net/fiber_runtime.h"
+#include "routing/check_property.h"
 #include "steering/steering_fixture.h"
 #include "store/fake_store.h"
 
@@ -57,14 +58,14 @@
 };
 
 struct synchronizer_fixture {
-    synchronizer_fixture()
+    explicit synchronizer_fixture(duration recovery_period = 2000ms)
         : fleet(make_fleet()), membership(make_membership("host")), log("host", log_level::off),
           synchronizer(runtime, store, adapter, fleet, membership, log,
                        {.poll_period = 10ms,
                         .retry_period = 10ms,
                         .peer_snapshot_delay = 60ms,
                         .outage_threshold = 100ms,
-                        .recovery_period = 2000ms}) {}
+                        .recovery_period = recovery_period}) {}
 
     void run(const std::function<void()>& body) {
         std::exception_ptr thrown;
@@ -630,3 +631,116 @@
         }
     });
 }
+
+namespace {
+
+/// What operators and upstreams want the store to hold. They write it again after each return of the store.
+class store_writers {
+public:
+    explicit store_writers(fake_store& store) : m_store(store) {}
+
+    void change(int choice) {
+        const std::string name = std::to_string(choice % 3);
+        switch (choice % 5) {
+        case 0:
+            ++m_version;
+            return m_store.put("config", std::to_string(m_version));
+        case 1:
+            return announce("up/" + name, "ready ");
+        case 2:
+            return announce("up/" + name, "drains ");
+        case 3:
+            m_upstreams.erase("up/" + name);
+            return m_store.remove("up/" + name);
+        default:
+            return evacuate("drain/" + name, !m_evacuated.contains("drain/" + name));
+        }
+    }
+
+    void write_again() {
+        m_store.put("config", std::to_string(m_version));
+        for (const std::string name : {"0", "1", "2"}) {
+            evacuate("drain/" + name, m_evacuated.contains("drain/" + name));
+            const auto upstream = m_upstreams.find("up/" + name);
+            if (upstream == m_upstreams.end())
+                m_store.remove("up/" + name);
+            else
+                announce(upstream->first, upstream->second);
+        }
+    }
+
+    std::int64_t version() const noexcept { return m_version; }
+    bool is_evacuated(const std::string& name) const { return m_evacuated.contains("drain/" + name); }
+    bool is_used(const std::string& name) const {
+        const auto upstream = m_upstreams.find("up/" + name);
+        return upstream != m_upstreams.end() && upstream->second == "ready ";
+    }
+
+private:
+    void announce(const std::string& key, const std::string& state) {
+        m_upstreams[key] = state;
+        m_store.put(key, state + std::to_string(++m_sequence));
+    }
+
+    void evacuate(const std::string& key, bool is_evacuated) {
+        if (is_evacuated) {
+            m_evacuated.insert(key);
+            return m_store.put(key, "{}");
+        }
+        m_evacuated.erase(key);
+        m_store.remove(key);
+    }
+
+    fake_store& m_store;
+    std::int64_t m_version = 1;
+    std::int64_t m_sequence = 1;
+    std::map<std::string, std::string> m_upstreams;
+    std::set<std::string> m_evacuated;
+};
+
+} // namespace
+
+// Guards against any order of changes, outages and returns of the store from a copy after which a host keeps a state
+// that the store does not have.
+TEST_CASE("a host's state ends as that of the store, whatever returns from copies lie behind it") {
+    check_property(20261207, 60, [] {
+        const auto steps = *rc::gen::container<std::vector<int>>(40, rc::gen::inRange(0, 1000));
+        synchronizer_fixture host(30ms);
+        host.run([&] {
+            store_writers writers(host.store);
+            writers.write_again();
+            host.synchronizer.start();
+            auto copy = host.store.copy();
+            std::int64_t seen_version = 0;
+            for (const int step : steps) {
+                if (step < 800)
+                    writers.change(step);
+                else if (step < 850)
+                    copy = host.store.copy();
+                else if (step < 900)
+                    host.store.faults.down = !host.store.faults.down;
+                else if (step < 940)
+                    host.store.come_back_from(copy);
+                else
+                    host.wait(5ms);
+                // A key that was taken away is not accepted again.
+                RC_ASSERT(host.version() >= seen_version);
+                seen_version = host.version();
+            }
+            host.store.faults.down = false;
+            host.store.come_back_from(copy);
+            host.wait(5ms);
+            writers.write_again();
+            host.wait(150ms);
+            RC_ASSERT(host.version() == writers.version());
+            RC_ASSERT(host.synchronizer.position() == host.store.position());
+            for (const std::string name : {"0", "1", "2"}) {
+                RC_ASSERT(host.fleet.is_evacuated(name) == writers.is_evacuated(name));
+                const auto upstream = host.fleet.find_upstream(name);
+                const bool is_used =
+                    upstream != nullptr && !upstream->is_lapsed() && !upstream->description().is_draining;
+                RC_ASSERT(is_used == writers.is_used(name));
+            }
+        });
+    });
+}
