Restore check: a host that is cut off from the store, and one that is killed, beside the return

The second return of platform_restore_check plays beside a host that reaches only its peers and one that is killed while the store is away and starts again after it. Both follow the new era.

--- a/tests/end_to_end/platform_restore_check.py
+++ b/tests/end_to_end/platform_restore_check.py
@@ -4,6 +4,7 @@
 out before, and against what the copy does not have being taken for removed before it can have been written again."""
 
 import os
+import socket
 import subprocess
 import sys
 import tempfile
@@ -16,10 +17,52 @@
 from platform_path_check import CONFIGURATION_SECONDS, DRAIN_SECONDS, check, entry_host, wait_until  # noqa: E402
 
 AWAY_SECONDS = 1.0
+PEER_SECONDS = 5.0  # Until a host that is cut off from the store has what its peers know.
 REWRITE_SECONDS = 1.0  # Until the operator and the upstreams have written again.
 EVACUATED = "op/evacuate/gulf-b"
 
 
+class store_link:
+    """The path of one host to the store; it can be cut."""
+
+    def __init__(self, store_port):
+        self.store_port, self.is_cut, self.sockets = store_port, False, []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            host, _ = self.listener.accept()
+            if self.is_cut:
+                host.close()
+                continue
+            store = socket.create_connection(("127.0.0.1", self.store_port))
+            self.sockets += [host, store]
+            for source, target in ((host, store), (store, host)):
+                threading.Thread(target=self.forward, args=(source, target), daemon=True).start()
+
+    def forward(self, source, target):
+        try:
+            while data := source.recv(65536):
+                target.sendall(data)
+        except OSError:
+            pass  # The other direction has closed it, or the link is cut.
+        for end in (source, target):
+            try:
+                end.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+    def cut(self):
+        self.is_cut = True
+        for one in self.sockets:
+            try:
+                one.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass
+
+
 class caller:
     """Sends requests to all hosts all the time and notes what is not served."""
 
@@ -158,31 +201,57 @@
     world.announce(drained.name, "ready")
 
 
+def check_return_beside_failures(world, hosts, copy, link):
+    """Guards against a host that is cut off from the store and keeps to the state from before the return, which counts
+    the higher revisions, and against a host that starts after a kill and takes that state from it."""
+    killed = hosts.pop(0)
+    time.sleep(0.2)  # Its last request has been answered.
+    killed.process.kill()
+    killed.process.wait()
+    link.cut()
+    check_return(world, hosts, copy)
+    world.submit(["good-key", "last-key"])
+    wait_until("a host that is cut off from the store learns of the return from its peers", PEER_SECONDS,
+               lambda: all(host.ask("last", key="last-key")[0] == 200 for host in hosts))
+    killed.start()
+    wait_until("the killed host is back", 5, killed.is_ready)
+    check("it serves as the others", killed.ask("last", key="last-key")[0] == 200)
+    time.sleep(1)
+    world.submit(["good-key"])
+    wait_until("the key is taken away everywhere", PEER_SECONDS,
+               lambda: all(host.ask("last", key="last-key")[0] == 401 for host in hosts + [killed]))
+
+
 def main():
     build = sys.argv[1]
     store = platform_standin.kv_standin()
     world = fleet(store, [platform_standin.upstream_standin("i-%d" % number) for number in range(3)])
     hosts, steady = [], None
     with tempfile.TemporaryDirectory() as folder:
-        def start_host():
-            hosts.append(entry_host(build, folder, "front-%d" % len(hosts), store.port, subprocess.DEVNULL,
-                                    domains=("gulf-a", "gulf-b")))
-            wait_until("%s is ready" % hosts[-1].name, 10, hosts[-1].is_ready)
+        started = []
+
+        def start_host(store_port=store.port):
+            host = entry_host(build, folder, "front-%d" % len(started), store_port, subprocess.DEVNULL,
+                              domains=("gulf-a", "gulf-b"))
+            started.append(host)
+            wait_until("%s is ready" % host.name, 10, host.is_ready)
+            hosts.append(host)
 
         try:
             start_host()
-            start_host()
+            link = store_link(store.port)
+            start_host(link.port)
             steady = caller(hosts)
             time.sleep(1)
             copy = check_lost_seconds(world, hosts, start_host)
             known = check_return(world, hosts, copy)
             check_changes_after_return(world, hosts, known)
             # Once more, with a copy of the era that has just begun.
-            check_return(world, hosts, check_lost_seconds(world, hosts, start_host))
+            check_return_beside_failures(world, hosts, check_lost_seconds(world, hosts, start_host), link)
         finally:
             if steady is not None:
                 steady.stop()
-            for host in hosts:
+            for host in started:
                 host.process.kill()
                 host.process.wait()
     check("no request of %d was lost: %s" % (steady.sent, steady.failures[:3]), not steady.failures)
