--- a/tests/end_to_end/platform_restore_check.py
+++ b/tests/end_to_end/platform_restore_check.py
@@ -67,7 +67,7 @@
     """Sends requests to all hosts all the time and notes what is not served."""
 
     def __init__(self, hosts):
-        self.hosts, self.sent, self.failures, self.is_stopped = hosts, 0, [], False
+        self.hosts, self.sent, self.rounds, self.failures, self.is_stopped = hosts, 0, 0, [], False
         self.thread = threading.Thread(target=self.run)
         self.thread.start()
 
@@ -82,8 +82,16 @@
                     status = repr(problem)
                 if status != 200:
                     self.failures.append((host.name, name, status))
+            self.rounds += 1
             time.sleep(0.02)
 
+    def leave_first_host(self):
+        """Returns the first host when its last request has been answered."""
+        host = self.hosts.pop(0)
+        rounds = self.rounds
+        wait_until("the round in which the host was asked ends", 20, lambda: self.rounds > rounds)
+        return host
+
     def stop(self):
         self.is_stopped = True
         self.thread.join()
@@ -201,11 +209,10 @@
     world.announce(drained.name, "ready")
 
 
-def check_return_beside_failures(world, hosts, copy, link):
+def check_return_beside_failures(world, steady, copy, link):
     """Guards against a host that is cut off from the store and keeps to the state from before the return, which counts
     the higher revisions, and against a host that starts after a kill and takes that state from it."""
-    killed = hosts.pop(0)
-    time.sleep(0.2)  # Its last request has been answered.
+    killed, hosts = steady.leave_first_host(), steady.hosts
     killed.process.kill()
     killed.process.wait()
     link.cut()
@@ -247,7 +254,7 @@
             known = check_return(world, hosts, copy)
             check_changes_after_return(world, hosts, known)
             # Once more, with a copy of the era that has just begun.
-            check_return_beside_failures(world, hosts, check_lost_seconds(world, hosts, start_host), link)
+            check_return_beside_failures(world, steady, check_lost_seconds(world, hosts, start_host), link)
         finally:
             if steady is not None:
                 steady.stop()
